--- /dev/null
+++ b/internal/core/plan/job.go
@@ -0,0 +1,273 @@
+package plan
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanshore/rattanshore/internal/core/rules"
+	"github.com/rattanshore/rattanshore/internal/wire/record"
+)
+
+// phase is where a gang stands.
+type phase int
+
+const (
+	// blocked gangs wait for other steps or for their time.
+	blocked phase = iota
+	// waiting gangs are in the queue.
+	waiting
+	// reserved gangs have places where others are being stopped.
+	reserved
+	// placed gangs have runs.
+	placed
+	// stopping gangs have runs that are being ended; they wait again after.
+	stopping
+	// done gangs have ended successfully.
+	done
+	// dead gangs belong to a job that has ended otherwise.
+	dead
+)
+
+// gang is what is placed and ends as a unit: all tasks of a step that work
+// only together, or one task of any other step.
+type gang struct {
+	job        *job
+	occurrence int
+	step       int
+	first      int
+	size       int
+
+	phase   phase
+	attempt int
+	// failed lists the attempts that ended by a failure.
+	failed     []int
+	checkpoint string
+	// failedOn names the workers on which an attempt has failed.
+	failedOn map[string]bool
+
+	runs     []*run
+	places   []*worker
+	deadline time.Time
+	// notBefore is the earliest next start.
+	notBefore time.Time
+	dueAt     time.Time
+	readyAt   time.Time
+	startedAt time.Time
+	// together is when the newest attempt was first seen at work whole.
+	together time.Time
+	preempts int
+	slow     bool
+}
+
+// job is a job that has not ended.
+type job struct {
+	spec     record.Job
+	state    record.JobState
+	queue    rules.Queue
+	gangs    []*gang
+	open     map[stepKey]int
+	attempt  int
+	adopted  bool
+	started  bool
+	reason   string
+	wholeAt  time.Time
+	partAt   time.Time
+	value    float64
+	coreSecs float64
+}
+
+// stepKey names a step of one occurrence.
+type stepKey struct {
+	occurrence, step int
+}
+
+// partialCredit is how many times the whole objective a job still earns some.
+const partialCredit = 3
+
+func (m *Model) addJob(now time.Time, msg JobMsg) {
+	id := msg.Job.ID
+	if _, known := m.jobs[id]; known {
+		return
+	}
+	switch msg.Progress.State {
+	case record.Completed, record.Failed, record.Cancelled:
+		m.keepEnded(id, msg.Progress.EndedAt)
+		return
+	case record.Queued, record.Running:
+	}
+	j := &job{
+		spec:    msg.Job,
+		state:   record.Queued,
+		open:    map[stepKey]int{},
+		attempt: msg.Progress.Attempt,
+		adopted: msg.Adopted,
+	}
+	j.queue, _ = m.config.Queue(msg.Job.Queue)
+	j.build()
+	j.restore(msg.Progress)
+	m.jobs[id] = j
+	m.rate(j)
+	m.claimStrays(now, j)
+	m.advance(now, j)
+	m.decide(JobTaken, j.gangs[0], nil, j.spec.Queue)
+	m.write.waitingChanged = true
+}
+
+// build makes the gangs of every occurrence.
+func (j *job) build() {
+	for k := range max(1, j.spec.Occurrences) {
+		due := j.spec.FirstDueAt
+		if !due.IsZero() {
+			due = due.Add(time.Duration(k) * time.Duration(j.spec.IntervalMillis) * time.Millisecond)
+		}
+		for s, step := range j.spec.Steps {
+			size := 1
+			if step.Gang {
+				size = step.Tasks
+			}
+			for first := 0; first < step.Tasks; first += size {
+				j.gangs = append(j.gangs, &gang{job: j, occurrence: k, step: s, first: first, size: size, dueAt: due})
+				j.open[stepKey{k, s}]++
+			}
+		}
+	}
+}
+
+// restore applies what an earlier leader recorded.
+func (j *job) restore(p record.Progress) {
+	for _, gp := range p.Gangs {
+		g := j.gang(gp.Occurrence, gp.Step, gp.First)
+		if g == nil {
+			continue
+		}
+		g.failed = gp.FailedAttempts
+		g.checkpoint = gp.Checkpoint
+		if gp.Done {
+			g.phase = done
+			j.open[stepKey{g.occurrence, g.step}]--
+		}
+	}
+	for _, g := range j.gangs {
+		g.attempt = j.attempt
+		if j.adopted {
+			// An attempt may have been used without having been recorded.
+			g.attempt++
+		}
+	}
+}
+
+// gang returns the gang that holds a task.
+func (j *job) gang(occurrence, step, index int) *gang {
+	for _, g := range j.gangs {
+		if g.occurrence == occurrence && g.step == step && index >= g.first && index < g.first+g.size {
+			return g
+		}
+	}
+	return nil
+}
+
+// advance lets gangs whose turn has come wait for places, and ends the job
+// when all are done.
+func (m *Model) advance(now time.Time, j *job) {
+	left := 0
+	for _, g := range j.gangs {
+		if g.phase != done {
+			left++
+		}
+		if g.phase != blocked || !j.ready(g) || now.Before(g.dueAt) {
+			continue
+		}
+		g.readyAt = now
+		m.enqueue(g)
+	}
+	if left == 0 {
+		m.endJob(now, j, record.Completed, "")
+	}
+}
+
+func (j *job) ready(g *gang) bool {
+	for _, s := range j.spec.Steps[g.step].After {
+		if j.open[stepKey{g.occurrence, s}] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Model) enqueue(g *gang) {
+	g.phase = waiting
+	g.places = nil
+	m.queue = append(m.queue, g)
+	m.changed = true
+}
+
+func (m *Model) dequeue(g *gang) {
+	if i := slices.Index(m.queue, g); i >= 0 {
+		m.queue = slices.Delete(m.queue, i, i+1)
+	}
+}
+
+// cancel ends a job at its submitter's wish.
+func (m *Model) cancel(now time.Time, id string) {
+	j, ok := m.jobs[id]
+	if !ok {
+		return
+	}
+	m.endJob(now, j, record.Cancelled, "cancelled by its submitter")
+}
+
+// endJob gives a job its final state. Runs that are left are stopped and kept
+// in mind until they are gone.
+func (m *Model) endJob(now time.Time, j *job, state record.JobState, reason string) {
+	j.state = state
+	j.reason = reason
+	for _, g := range j.gangs {
+		switch g.phase {
+		case waiting:
+			m.dequeue(g)
+		case reserved:
+			m.unreserve(g)
+		case placed, stopping, blocked, done, dead:
+		}
+		if g.phase == done {
+			continue
+		}
+		g.phase = dead
+		m.stopRuns(now, g, nil)
+	}
+	delete(m.jobs, j.spec.ID)
+	m.write.waitingChanged = true
+	m.write.ended[j.spec.ID] = now
+	m.record(now, j, true)
+	m.decide(JobEnded, j.gangs[0], nil, string(state)+" "+reason)
+}
+
+// progress returns the row that a successor needs.
+func (j *job) progress(ended time.Time) record.Progress {
+	p := record.Progress{ID: j.spec.ID, State: j.state, Attempt: j.attempt, EndedAt: ended, Reason: j.reason}
+	if !ended.IsZero() {
+		return p
+	}
+	for _, g := range j.gangs {
+		if g.phase != done && len(g.failed) == 0 && g.checkpoint == "" {
+			continue
+		}
+		p.Gangs = append(p.Gangs, record.GangProgress{
+			Occurrence:     g.occurrence,
+			Step:           g.step,
+			First:          g.first,
+			Done:           g.phase == done,
+			FailedAttempts: g.failed,
+			Checkpoint:     g.checkpoint,
+		})
+	}
+	return p
+}
+
+func (g *gang) spec() *record.Step {
+	return &g.job.spec.Steps[g.step]
+}
+
+func (g *gang) need() record.Amount {
+	return g.spec().Need
+}
--- /dev/null
+++ b/internal/core/plan/place.go
@@ -0,0 +1,335 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rattanshore/rattanshore/internal/wire/record"
+)
+
+// passInterval is the longest time between two passes while gangs wait, since
+// benches end and deadlines pass without a message.
+const passInterval = 200 * time.Millisecond
+
+// rate works out until when a job earns and what it takes.
+func (m *Model) rate(j *job) {
+	begin := j.spec.SubmittedAt
+	if !j.spec.FirstDueAt.IsZero() {
+		begin = j.spec.FirstDueAt
+	}
+	span := time.Duration(j.queue.Stretch*float64(m.chain(j))) + j.queue.Objective
+	j.wholeAt = begin.Add(span)
+	j.partAt = begin.Add(partialCredit * span)
+	j.coreSecs = 0
+	for _, s := range j.spec.Steps {
+		j.coreSecs += float64(s.Tasks) * cores(s.Need) * float64(s.EstimateMillis) / 1000
+	}
+}
+
+// chain returns the longest chain of work of the job by its estimates.
+func (m *Model) chain(j *job) time.Duration {
+	ends := make([]time.Duration, len(j.spec.Steps))
+	longest := time.Duration(0)
+	for i, s := range j.spec.Steps {
+		var begin time.Duration
+		for _, a := range s.After {
+			begin = max(begin, ends[a])
+		}
+		ends[i] = begin + time.Duration(s.EstimateMillis)*time.Millisecond
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// standing orders gangs by what they can still earn.
+type standing int
+
+const (
+	earnsWhole standing = iota
+	earnsPart
+	earnsNothing
+)
+
+func (m *Model) standingOf(now time.Time, g *gang) standing {
+	end := now.Add(m.expected(g))
+	switch {
+	case end.Before(g.job.wholeAt):
+		return earnsWhole
+	case end.Before(g.job.partAt):
+		return earnsPart
+	default:
+		return earnsNothing
+	}
+}
+
+// ranked is a waiting gang with what it is ordered by.
+type ranked struct {
+	gang     *gang
+	standing standing
+	priority int
+	startBy  time.Time
+}
+
+func (m *Model) rank(now time.Time, g *gang) ranked {
+	return ranked{
+		gang:     g,
+		standing: m.standingOf(now, g),
+		priority: g.job.queue.Priority,
+		startBy:  g.job.wholeAt.Add(-m.expected(g)),
+	}
+}
+
+// compareRanked puts urgent work first, within a priority what still earns
+// most, then what has to start soonest.
+func compareRanked(a, b ranked) int {
+	last := func(r ranked) int {
+		if r.standing == earnsNothing {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(
+		cmp.Compare(last(a), last(b)),
+		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.standing, b.standing),
+		a.startBy.Compare(b.startBy),
+		cmp.Compare(a.gang.job.spec.ID, b.gang.job.spec.ID),
+		cmp.Compare(a.gang.step, b.gang.step),
+		cmp.Compare(a.gang.first, b.gang.first),
+	)
+}
+
+// demand is what the outcome of a try depends on within one pass.
+type demand struct {
+	target   string
+	need     record.Amount
+	size     int
+	sameRack bool
+	near     string
+	label    string
+	priority int
+}
+
+// pass tries every waiting gang once, in order of rank.
+func (m *Model) pass(now time.Time) {
+	if !m.loaded || len(m.queue) == 0 || !m.changed && now.Before(m.nextPass) {
+		return
+	}
+	m.changed = false
+	m.nextPass = now.Add(passInterval)
+	settled := m.settled(now)
+	order := make([]ranked, 0, len(m.queue))
+	for _, g := range m.queue {
+		if now.Before(g.notBefore) || g.job.adopted && !settled {
+			continue
+		}
+		order = append(order, m.rank(now, g))
+	}
+	slices.SortFunc(order, compareRanked)
+	failed := map[demand]struct{}{}
+	for _, r := range order {
+		m.try(now, r, failed)
+	}
+}
+
+func (m *Model) try(now time.Time, r ranked, failed map[demand]struct{}) {
+	g := r.gang
+	s := g.spec()
+	d := demand{
+		target: g.job.queue.Target, need: s.Need, size: g.size, sameRack: s.SameRack && g.size > 1,
+		near: s.NearRack, label: s.Label, priority: r.priority,
+	}
+	if _, done := failed[d]; done && s.SpreadLimit == 0 && len(g.failedOn) == 0 {
+		return
+	}
+	if places := m.find(now, g, nil); places != nil {
+		m.dequeue(g)
+		m.place(now, g, places)
+		return
+	}
+	if r.priority == 0 && r.standing != earnsNothing && m.preempt(now, g) {
+		return
+	}
+	failed[d] = struct{}{}
+}
+
+// room is what is free on workers, as it is or as it would be.
+type room struct {
+	free map[*worker]record.Amount
+}
+
+// at returns what is free on the worker for others than reserved gangs.
+func (r *room) at(w *worker) record.Amount {
+	if r != nil {
+		if free, ok := r.free[w]; ok {
+			return free
+		}
+	}
+	return w.free
+}
+
+// find returns a worker for each task of the gang, or nil. room says what is
+// free where it differs from what the workers have.
+func (m *Model) find(now time.Time, g *gang, rm *room) []*worker {
+	s := g.spec()
+	if s.NearRack != "" {
+		if places := m.findIn(now, g, rm, m.near(g)); places != nil {
+			return places
+		}
+		if !m.mayLeaveData(now, g) {
+			return nil
+		}
+	}
+	if s.SameRack && g.size > 1 {
+		for _, rk := range m.byRoom(now, g, rm) {
+			if places := m.findIn(now, g, rm, rk.workers); places != nil {
+				return places
+			}
+		}
+		if m.rackCanHold(g) && !m.mayLeaveData(now, g) {
+			return nil
+		}
+	}
+	return m.findIn(now, g, rm, m.order)
+}
+
+// near returns the workers of the rack that holds the gang's data.
+func (m *Model) near(g *gang) []*worker {
+	for _, rk := range m.racks {
+		if rk.name == g.spec().NearRack && rk.target == g.job.queue.Target {
+			return rk.workers
+		}
+	}
+	return nil
+}
+
+// mayLeaveData reports whether waiting for the better place has cost as much
+// as going elsewhere would.
+func (m *Model) mayLeaveData(now time.Time, g *gang) bool {
+	extra := time.Duration((m.timing.SpreadFactor - 1) * float64(m.expected(g)))
+	return now.Sub(g.readyAt) > extra/2
+}
+
+// byRoom returns the racks in which the gang fits, fullest first.
+func (m *Model) byRoom(now time.Time, g *gang, rm *room) []rack {
+	type candidate struct {
+		rack  rack
+		spare int
+	}
+	var fitting []candidate
+	for _, rk := range m.racks {
+		if rk.target != g.job.queue.Target {
+			continue
+		}
+		slots := 0
+		for _, w := range rk.workers {
+			slots += m.slots(now, g, w, rm)
+		}
+		if slots >= g.size {
+			fitting = append(fitting, candidate{rk, slots})
+		}
+	}
+	slices.SortStableFunc(fitting, func(a, b candidate) int { return cmp.Compare(a.spare, b.spare) })
+	racks := make([]rack, len(fitting))
+	for i, c := range fitting {
+		racks[i] = c.rack
+	}
+	return racks
+}
+
+// rackCanHold reports whether any one rack could hold the gang if it were empty.
+func (m *Model) rackCanHold(g *gang) bool {
+	for _, rk := range m.racks {
+		if rk.target != g.job.queue.Target {
+			continue
+		}
+		slots := 0
+		for _, w := range rk.workers {
+			if w.listed && !w.Draining {
+				slots += times(g.need(), w.Capacity)
+			}
+		}
+		if slots >= g.size {
+			return true
+		}
+	}
+	return false
+}
+
+// slots returns how many tasks of the gang the worker may take now.
+func (m *Model) slots(now time.Time, g *gang, w *worker, rm *room) int {
+	if w.Target != g.job.queue.Target || !m.usable(now, w) || g.failedOn[w.ID] && !m.fewWorkers(now) {
+		return 0
+	}
+	s := g.spec()
+	if s.Label != "" && !slices.Contains(w.Labels, s.Label) {
+		return 0
+	}
+	n := times(s.Need, rm.at(w))
+	if s.SpreadLimit > 0 {
+		n = min(n, max(0, s.SpreadLimit-m.onWorker(g, w)))
+	}
+	return n
+}
+
+// fewWorkers reports whether there are too few workers to be choosy.
+func (m *Model) fewWorkers(now time.Time) bool {
+	n := 0
+	for _, w := range m.order {
+		if m.usable(now, w) {
+			n++
+		}
+	}
+	return n < len(m.order)/4
+}
+
+// onWorker counts the tasks of the gang's step that are on the worker.
+func (m *Model) onWorker(g *gang, w *worker) int {
+	n := 0
+	for t := range w.runs {
+		if t.Job == g.job.spec.ID && t.Step == g.step && t.Occurrence == g.occurrence {
+			n++
+		}
+	}
+	return n
+}
+
+// findIn looks for places on the given workers: the ones with least room to
+// spare first, so that whole workers stay free for large tasks.
+func (m *Model) findIn(now time.Time, g *gang, rm *room, workers []*worker) []*worker {
+	type candidate struct {
+		worker *worker
+		slots  int
+		left   record.Amount
+	}
+	var candidates []candidate
+	total := 0
+	for _, w := range workers {
+		n := m.slots(now, g, w, rm)
+		if n == 0 {
+			continue
+		}
+		candidates = append(candidates, candidate{w, n, rm.at(w)})
+		total += n
+	}
+	if total < g.size {
+		return nil
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.left.Accelerators, b.left.Accelerators),
+			cmp.Compare(a.left.MilliCores, b.left.MilliCores),
+		)
+	})
+	places := make([]*worker, 0, g.size)
+	for _, c := range candidates {
+		for range min(c.slots, g.size-len(places)) {
+			places = append(places, c.worker)
+		}
+		if len(places) == g.size {
+			return places
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/plan/run.go
@@ -0,0 +1,613 @@
+package plan
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/rattanshore/rattanshore/internal/wire/record"
+)
+
+// runPhase is where a run stands.
+type runPhase int
+
+const (
+	// sending runs have been ordered and not confirmed.
+	sending runPhase = iota
+	// working runs were confirmed by their worker.
+	working
+	// ending runs have been told to stop.
+	ending
+)
+
+// run is one attempt of a task at a worker. It is kept until its worker has
+// said that it is gone, or its lease has surely run out.
+type run struct {
+	task    TaskID
+	attempt int
+	// gang is nil while the job of the run is not known here.
+	gang   *gang
+	worker *worker
+	need   record.Amount
+
+	phase       runPhase
+	sentAt      time.Time
+	confirmedAt time.Time
+	// nextTry is when an unanswered order is sent again.
+	nextTry  time.Time
+	calling  bool
+	stopSent bool
+	// stoppedAt is when a stop was answered.
+	stoppedAt time.Time
+
+	percent   int
+	percentAt time.Time
+}
+
+// place gives a gang its runs and sends their starts.
+func (m *Model) place(now time.Time, g *gang, places []*worker) {
+	g.phase = placed
+	g.attempt++
+	g.job.attempt = max(g.job.attempt, g.attempt)
+	g.startedAt = now
+	g.together = time.Time{}
+	g.deadline = now.Add(m.timing.GangWait)
+	g.places = nil
+	m.active.Add(g)
+	if !g.job.started {
+		g.job.started = true
+		g.job.state = record.Running
+		m.write.waitingChanged = true
+		m.record(now, g.job, false)
+	}
+	for i, w := range places {
+		r := &run{
+			task:    TaskID{Job: g.job.spec.ID, Occurrence: g.occurrence, Step: g.step, Index: g.first + i},
+			attempt: g.attempt, gang: g, worker: w, need: g.need(), sentAt: now,
+		}
+		m.hold(r)
+		m.sendStart(now, r)
+	}
+	m.decide(Placed, g, places[0], placeText(places))
+}
+
+func placeText(places []*worker) string {
+	text := ""
+	for i, w := range places {
+		if i > 0 {
+			text += " "
+		}
+		text += w.ID
+	}
+	return text
+}
+
+// hold takes the run's room at its worker.
+func (m *Model) hold(r *run) {
+	r.worker.runs[r.task] = r
+	r.worker.recount()
+	if r.gang != nil {
+		r.gang.runs = append(r.gang.runs, r)
+		m.active.Add(r.gang)
+	}
+}
+
+func (m *Model) sendStart(now time.Time, r *run) {
+	w := r.worker
+	lease := m.leaseFor(now, w)
+	w.leaseUntil = later(w.leaseUntil, lease)
+	r.calling = true
+	if w.heardAt.IsZero() {
+		w.heardAt = now
+	}
+	m.emit(StartCmd{
+		Worker:     w.ID,
+		Address:    w.Address,
+		Task:       r.task,
+		Attempt:    r.attempt,
+		Payload:    r.gang.job.spec.Payload,
+		LeaseUntil: lease,
+		Epoch:      m.epoch,
+		Checkpoint: r.gang.checkpoint,
+	})
+}
+
+func (m *Model) startEnded(now time.Time, msg StartMsg) {
+	w, ok := m.workers[msg.Worker]
+	if !ok {
+		return
+	}
+	w.heardClock(now, msg.Clock)
+	r := w.runs[msg.Task]
+	if r == nil || r.attempt != msg.Attempt {
+		return
+	}
+	r.calling = false
+	if r.phase == ending {
+		m.endingStartEnded(now, r, msg)
+		return
+	}
+	switch msg.Outcome {
+	case Started:
+		w.heardAt = later(w.heardAt, msg.SentAt)
+		m.confirm(now, r)
+	case Unanswered:
+		r.nextTry = now.Add(m.timing.StartRetry)
+	case Fenced:
+		m.emit(DeposedCmd{})
+	case Replaced:
+		m.reborn(now, w)
+		w.listed = false
+	case Outdated:
+		r.gang.attempt += attemptSkip
+		m.rejectedStart(now, r, "a later attempt has ended there")
+	case NoRoom:
+		w.avoidTill = later(w.avoidTill, now.Add(noRoomPause))
+		m.rejectedStart(now, r, "no room")
+	case Unhealthy:
+		w.avoidTill = later(w.avoidTill, now.Add(unhealthyPause))
+		m.rejectedStart(now, r, "the worker takes no work")
+	case Expired, Invalid:
+		w.avoidTill = later(w.avoidTill, now.Add(noRoomPause))
+		m.rejectedStart(now, r, "the order was refused")
+	}
+}
+
+const (
+	// noRoomPause is how long a worker that had less room than thought gets
+	// nothing more.
+	noRoomPause = 300 * time.Millisecond
+	// unhealthyPause is the same for a worker that takes no work.
+	unhealthyPause = time.Second
+	// attemptSkip leaves attempts out that another leader may have used.
+	attemptSkip = 4
+)
+
+// endingStartEnded takes the late answer to a start whose run is to stop.
+func (m *Model) endingStartEnded(now time.Time, r *run, msg StartMsg) {
+	switch msg.Outcome {
+	case NoRoom, Unhealthy, Expired, Invalid, Outdated:
+		if r.stopSent {
+			return
+		}
+		m.dropRun(now, r, "was never started")
+	case Started, Unanswered:
+		m.stopRun(now, r)
+	case Fenced:
+		m.emit(DeposedCmd{})
+	case Replaced:
+		m.reborn(now, r.worker)
+	}
+}
+
+// rejectedStart drops a run that certainly is not there and ends its gang's
+// attempt.
+func (m *Model) rejectedStart(now time.Time, r *run, reason string) {
+	g := r.gang
+	m.release(r)
+	m.breakUp(now, g, "start at "+r.worker.ID+" refused: "+reason)
+}
+
+// confirm takes in that the worker has the run.
+func (m *Model) confirm(now time.Time, r *run) {
+	if r.phase != sending {
+		return
+	}
+	r.phase = working
+	r.confirmedAt = now
+	r.percentAt = now
+	r.worker.nextLook = now
+	g := r.gang
+	if g.whole() && g.together.IsZero() {
+		g.together = now
+		m.decide(Running, g, r.worker, "")
+	}
+}
+
+// whole reports whether all members of the gang are at work.
+func (g *gang) whole() bool {
+	if len(g.runs) < g.size {
+		return false
+	}
+	for _, r := range g.runs {
+		if r.phase != working {
+			return false
+		}
+	}
+	return true
+}
+
+// reconcile compares what a worker says it has with what it should have.
+func (m *Model) reconcile(now time.Time, w *worker, msg LookMsg) {
+	running := make(map[TaskID]RunReport, len(msg.Running))
+	for _, report := range msg.Running {
+		if other, ok := running[report.Task]; !ok || other.Attempt < report.Attempt {
+			running[report.Task] = report
+		}
+	}
+	for _, end := range msg.Ended {
+		if end.Number <= w.seen {
+			continue
+		}
+		w.seen = end.Number
+		m.runEnded(now, w, end)
+	}
+	for _, report := range msg.Running {
+		m.runListed(now, w, report)
+	}
+	for _, r := range w.sorted() {
+		report, listed := running[r.task]
+		if listed && report.Attempt == r.attempt {
+			continue
+		}
+		m.runMissing(now, r, msg.SentAt)
+	}
+	if w.seen > w.durable {
+		m.write.ackChanged = true
+	}
+}
+
+// runListed takes in a run that the worker has.
+func (m *Model) runListed(now time.Time, w *worker, report RunReport) {
+	r := w.runs[report.Task]
+	if r == nil {
+		m.adopt(now, w, report)
+		return
+	}
+	if r.attempt != report.Attempt {
+		return
+	}
+	if r.gang != nil && report.Checkpoint != "" && r.phase != ending {
+		r.gang.checkpoint = report.Checkpoint
+	}
+	if report.Percent != r.percent {
+		r.percent = report.Percent
+		r.percentAt = now
+	}
+	if r.phase == sending {
+		m.confirm(now, r)
+	}
+	if r.gang == nil && now.Sub(r.confirmedAt) > strayPatience {
+		m.stopRun(now, r)
+	}
+}
+
+// strayPatience is how long a run whose job is not known here may go on, since
+// the job's row may arrive after the run is seen.
+const strayPatience = 1500 * time.Millisecond
+
+// adopt takes over a run that an earlier leader started.
+func (m *Model) adopt(now time.Time, w *worker, report RunReport) {
+	r := &run{
+		task: report.Task, attempt: report.Attempt, worker: w, phase: working,
+		sentAt: now, confirmedAt: now, percent: report.Percent, percentAt: now,
+	}
+	if j, ok := m.jobs[report.Task.Job]; ok {
+		m.attach(now, r, j.gang(report.Task.Occurrence, report.Task.Step, report.Task.Index), report.Checkpoint)
+		return
+	}
+	m.hold(r)
+	if _, over := m.write.ended[report.Task.Job]; over {
+		m.stopRun(now, r)
+	}
+}
+
+// attach binds a run that was found at a worker to its gang.
+func (m *Model) attach(now time.Time, r *run, g *gang, checkpoint string) {
+	if g == nil {
+		m.hold(r)
+		m.stopRun(now, r)
+		return
+	}
+	r.gang = g
+	r.need = g.need()
+	m.hold(r)
+	current := g.phase == waiting || g.phase == blocked || g.phase == placed && g.attempt == r.attempt && !g.startedHere()
+	if !current || len(g.runs) > 1 && g.runs[0].attempt != r.attempt {
+		g.attempt = max(g.attempt, r.attempt)
+		m.breakUp(now, g, "attempts do not agree")
+		m.stopRun(now, r)
+		return
+	}
+	if g.phase == waiting {
+		m.dequeue(g)
+	}
+	g.phase = placed
+	g.attempt = r.attempt
+	g.job.attempt = max(g.job.attempt, r.attempt)
+	g.job.started = true
+	g.job.state = record.Running
+	if checkpoint != "" {
+		g.checkpoint = checkpoint
+	}
+	if g.startedAt.IsZero() {
+		g.startedAt = now
+	}
+	g.deadline = later(now.Add(m.timing.GangWait), m.inheritedLease(now))
+	if g.whole() {
+		g.together = now
+		m.decide(Adopted, g, r.worker, strconv.Itoa(g.size))
+	}
+}
+
+// startedHere reports whether this leader started the gang's attempt.
+func (g *gang) startedHere() bool {
+	for _, r := range g.runs {
+		if r.sentAt != r.confirmedAt {
+			return true
+		}
+	}
+	return false
+}
+
+// claimStrays binds runs that were seen before their job's row.
+func (m *Model) claimStrays(now time.Time, j *job) {
+	for _, w := range m.order {
+		for _, r := range w.sorted() {
+			if r.gang != nil || r.task.Job != j.spec.ID {
+				continue
+			}
+			delete(w.runs, r.task)
+			m.attach(now, r, j.gang(r.task.Occurrence, r.task.Step, r.task.Index), "")
+		}
+	}
+}
+
+// runMissing takes in that the worker does not have a run that it should.
+func (m *Model) runMissing(now time.Time, r *run, lookedAt time.Time) {
+	switch r.phase {
+	case sending:
+	case working:
+		if r.confirmedAt.Before(lookedAt) {
+			m.dropRun(now, r, "its worker no longer has it")
+		}
+	case ending:
+		if !r.stoppedAt.IsZero() && r.stoppedAt.Before(lookedAt) {
+			m.dropRun(now, r, "stopped")
+		}
+	}
+}
+
+// runEnded takes in the end of a run.
+func (m *Model) runEnded(now time.Time, w *worker, end EndReport) {
+	r := w.runs[end.Task]
+	if r != nil && r.attempt != end.Attempt {
+		r = nil
+	}
+	var g *gang
+	switch {
+	case r != nil:
+		g = r.gang
+		m.release(r)
+	default:
+		if j, ok := m.jobs[end.Task.Job]; ok {
+			g = j.gang(end.Task.Occurrence, end.Task.Step, end.Task.Index)
+		}
+	}
+	if g == nil || g.phase == dead || g.phase == done || end.Attempt < g.attempt && r == nil && g.phase != waiting && g.phase != blocked {
+		if g != nil {
+			m.afterRelease(now, g)
+		}
+		return
+	}
+	if end.Checkpoint != "" && end.Attempt >= g.attempt {
+		g.checkpoint = end.Checkpoint
+		m.record(now, g.job, false)
+	}
+	switch end.Kind {
+	case EndDone:
+		w.failures = 0
+		w.benches = 0
+		m.learn.ended(now, g, w)
+		m.gangDone(now, g)
+	case EndFailed:
+		m.runFailed(now, g, w, end.Attempt)
+	case EndStopped, EndLapsed, EndBroken, EndAlone:
+		m.breakUp(now, g, endText(end.Kind)+" at "+w.ID)
+	}
+}
+
+func endText(kind EndKind) string {
+	switch kind {
+	case EndStopped:
+		return "stopped"
+	case EndLapsed:
+		return "lease ran out"
+	case EndBroken:
+		return "another member ended"
+	case EndAlone:
+		return "members did not come together"
+	case EndDone, EndFailed:
+	}
+	return "ended"
+}
+
+func (m *Model) gangDone(now time.Time, g *gang) {
+	if g.spec().Perpetual {
+		m.breakUp(now, g, "ended and has to last")
+		return
+	}
+	switch g.phase {
+	case waiting:
+		m.dequeue(g)
+	case reserved:
+		m.unreserve(g)
+	case blocked, placed, stopping, done, dead:
+	}
+	g.phase = done
+	m.stopRuns(now, g, func(r *run) bool { return r.attempt != g.attempt })
+	m.afterRelease(now, g)
+	g.job.open[stepKey{g.occurrence, g.step}]--
+	m.record(now, g.job, false)
+	m.decide(Ended, g, nil, "done")
+	m.advance(now, g.job)
+}
+
+func (m *Model) runFailed(now time.Time, g *gang, w *worker, attempt int) {
+	m.benched(now, w, g.job.spec.ID)
+	for _, a := range g.failed {
+		if a == attempt {
+			return
+		}
+	}
+	g.failed = append(g.failed, attempt)
+	if g.failedOn == nil {
+		g.failedOn = map[string]bool{}
+	}
+	g.failedOn[w.ID] = true
+	limit := g.job.queue.MaxAttempts
+	if limit > 0 && len(g.failed) >= limit && !g.spec().Perpetual {
+		m.endJob(now, g.job, record.Failed, "failed "+strconv.Itoa(len(g.failed))+" times")
+		return
+	}
+	m.record(now, g.job, false)
+	m.breakUp(now, g, "failed at "+w.ID)
+}
+
+// dropRun takes in that a run is gone without an end of its own.
+func (m *Model) dropRun(now time.Time, r *run, reason string) {
+	m.release(r)
+	if r.gang == nil {
+		return
+	}
+	m.breakUp(now, r.gang, reason+" ("+r.worker.ID+")")
+}
+
+// release gives the run's room back.
+func (m *Model) release(r *run) {
+	delete(r.worker.runs, r.task)
+	r.worker.recount()
+	m.changed = true
+	if r.gang == nil {
+		return
+	}
+	for i, other := range r.gang.runs {
+		if other == r {
+			r.gang.runs = append(r.gang.runs[:i], r.gang.runs[i+1:]...)
+			break
+		}
+	}
+}
+
+// breakUp ends the gang's attempt: what is left of it is stopped, and it waits
+// again when nothing is left.
+func (m *Model) breakUp(now time.Time, g *gang, reason string) {
+	if g.phase == placed {
+		g.phase = stopping
+		m.decide(Broken, g, nil, reason)
+	}
+	m.stopRuns(now, g, nil)
+	m.afterRelease(now, g)
+}
+
+// afterRelease lets a gang without runs go on.
+func (m *Model) afterRelease(now time.Time, g *gang) {
+	if len(g.runs) > 0 {
+		return
+	}
+	if g.phase != reserved {
+		m.active.Remove(g)
+	}
+	if g.phase == stopping {
+		m.enqueue(g)
+	}
+	_ = now
+}
+
+// stopRuns tells all runs of the gang to stop, or those that which names.
+func (m *Model) stopRuns(now time.Time, g *gang, which func(*run) bool) {
+	for _, r := range g.runs {
+		if which == nil || which(r) {
+			m.stopRun(now, r)
+		}
+	}
+}
+
+func (m *Model) stopRun(now time.Time, r *run) {
+	if r.phase == ending && (r.calling || now.Before(r.nextTry)) {
+		return
+	}
+	if r.phase == ending && !r.stoppedAt.IsZero() {
+		return
+	}
+	r.phase = ending
+	r.stopSent = true
+	r.calling = true
+	r.worker.nextLook = earlier(r.worker.nextLook, now)
+	m.emit(StopCmd{Worker: r.worker.ID, Address: r.worker.Address, Task: r.task, Attempt: r.attempt, Epoch: m.epoch})
+}
+
+func (m *Model) stopEnded(now time.Time, msg StopMsg) {
+	w, ok := m.workers[msg.Worker]
+	if !ok {
+		return
+	}
+	r := w.runs[msg.Task]
+	if r == nil || r.attempt != msg.Attempt {
+		return
+	}
+	r.calling = false
+	switch {
+	case msg.Fenced:
+		m.emit(DeposedCmd{})
+	case msg.Replaced:
+		m.reborn(now, w)
+	case msg.Answered:
+		r.stoppedAt = now
+	default:
+		r.nextTry = now.Add(stopRetry)
+	}
+}
+
+// stopRetry is the pause after a stop without an answer.
+const stopRetry = 200 * time.Millisecond
+
+// expireGangs does what is due for gangs because time has passed.
+func (m *Model) expireGangs(now time.Time) {
+	for g := range m.active.All() {
+		m.expireGang(now, g)
+	}
+	for _, j := range m.jobs {
+		if j.spec.Occurrences > 0 {
+			m.advance(now, j)
+		}
+	}
+}
+
+func (m *Model) expireGang(now time.Time, g *gang) {
+	switch g.phase {
+	case reserved:
+		m.expireReserved(now, g)
+	case placed:
+		m.retryStarts(now, g)
+		if !g.whole() && now.After(g.deadline) {
+			m.suspectSilent(now, g)
+			m.breakUp(now, g, "not all members started in time")
+			return
+		}
+		m.checkProgress(now, g)
+	case stopping, dead, done:
+		for _, r := range g.runs {
+			if r.phase == ending && !r.calling && r.stoppedAt.IsZero() && !now.Before(r.nextTry) {
+				m.stopRun(now, r)
+			}
+		}
+	case blocked, waiting:
+	}
+}
+
+func (m *Model) retryStarts(now time.Time, g *gang) {
+	for _, r := range g.runs {
+		if r.phase == sending && !r.calling && !now.Before(r.nextTry) {
+			m.sendStart(now, r)
+		}
+	}
+}
+
+// suspectSilent keeps new work off workers that did not confirm a start.
+func (m *Model) suspectSilent(now time.Time, g *gang) {
+	for _, r := range g.runs {
+		if r.phase == sending {
+			r.worker.avoidTill = later(r.worker.avoidTill, now.Add(m.timing.Silence))
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/plan/write.go
@@ -0,0 +1,209 @@
+package plan
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rattanshore/rattanshore/internal/wire/record"
+)
+
+// maxRows is the largest number of rows in one transaction; the platform takes
+// a hundred entries, some of which the lane needs.
+const maxRows = 90
+
+// writeState is what waits to be stored and what is being stored.
+type writeState struct {
+	outstanding bool
+	batch       int
+	nextRenewal time.Time
+
+	// dirty holds jobs whose progress is not stored, with their newest state.
+	dirty map[string]*job
+	// endedDirty holds final states that are not stored.
+	endedDirty map[string]record.Progress
+	// dueAt is when what waits has to be sent.
+	dueAt time.Time
+
+	// ended names jobs whose final state is known, with when they ended.
+	ended map[string]time.Time
+
+	ackChanged     bool
+	acks           map[string]int64
+	rosterChanged  bool
+	rosterSent     map[string]bool
+	waitingChanged bool
+	nextWaiting    time.Time
+}
+
+func newWriteState() writeState {
+	return writeState{
+		dirty:      map[string]*job{},
+		endedDirty: map[string]record.Progress{},
+		ended:      map[string]time.Time{},
+	}
+}
+
+// record marks a job's progress as changed.
+func (m *Model) record(now time.Time, j *job, ended bool) {
+	if ended {
+		delete(m.write.dirty, j.spec.ID)
+		m.write.endedDirty[j.spec.ID] = j.progress(now)
+		m.write.dueAt = now
+		return
+	}
+	if len(m.write.dirty) == 0 && len(m.write.endedDirty) == 0 {
+		m.write.dueAt = now.Add(m.timing.ProgressDelay)
+	}
+	m.write.dirty[j.spec.ID] = j
+}
+
+// keepEnded remembers a job that ended under an earlier leader until its rows
+// may go.
+func (m *Model) keepEnded(id string, endedAt time.Time) {
+	m.write.ended[id] = endedAt
+}
+
+// flush sends what waits to be stored in one transaction.
+func (m *Model) flush(now time.Time) {
+	s := &m.write
+	if s.outstanding || !m.loaded {
+		return
+	}
+	m.checkRoster()
+	due := (len(s.dirty) > 0 || len(s.endedDirty) > 0) && !now.Before(s.dueAt)
+	lengths := s.waitingChanged && !now.Before(s.nextWaiting)
+	if !due && !s.ackChanged && !s.rosterChanged && !lengths && now.Before(s.nextRenewal) {
+		return
+	}
+	s.outstanding = true
+	s.batch++
+	s.nextRenewal = now.Add(m.timing.RenewInterval)
+	cmd := WriteCmd{Batch: s.batch, Progress: m.takeDirty()}
+	cmd.Forgotten = m.takeForgotten(now, maxRows-len(cmd.Progress))
+	m.takeAcks()
+	if s.rosterChanged {
+		cmd.Roster = m.takeRoster()
+	}
+	if lengths {
+		s.waitingChanged = false
+		s.nextWaiting = now.Add(m.timing.WaitingInterval)
+		cmd.Waiting = m.lengths()
+	}
+	m.emit(cmd)
+}
+
+// takeDirty returns the rows of jobs that ended, then of those that changed.
+func (m *Model) takeDirty() []record.Progress {
+	s := &m.write
+	rows := make([]record.Progress, 0, min(maxRows, len(s.dirty)+len(s.endedDirty)))
+	for _, id := range slices.Sorted(maps.Keys(s.endedDirty)) {
+		if len(rows) == maxRows {
+			return rows
+		}
+		rows = append(rows, s.endedDirty[id])
+		delete(s.endedDirty, id)
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.dirty)) {
+		if len(rows) == maxRows {
+			return rows
+		}
+		rows = append(rows, s.dirty[id].progress(time.Time{}))
+		delete(s.dirty, id)
+	}
+	return rows
+}
+
+// takeAcks notes which ends will be stored with the batch. Ends are only
+// acknowledged together with all progress that they led to.
+func (m *Model) takeAcks() {
+	s := &m.write
+	s.acks = nil
+	if len(s.dirty) > 0 || len(s.endedDirty) > 0 {
+		return
+	}
+	s.ackChanged = false
+	s.acks = map[string]int64{}
+	for _, w := range m.order {
+		if w.seen > w.durable {
+			s.acks[w.ID] = w.seen
+		}
+	}
+}
+
+func (m *Model) takeForgotten(now time.Time, most int) []string {
+	var ids []string
+	for id, at := range m.write.ended {
+		if len(ids) >= most/2 {
+			break
+		}
+		if now.Sub(at) > m.timing.KeepEnded {
+			ids = append(ids, id)
+			delete(m.write.ended, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// checkRoster asks for a new roster when a worker is not in the stored one.
+func (m *Model) checkRoster() {
+	for _, w := range m.order {
+		if w.listed && !w.rostered {
+			m.write.rosterChanged = true
+			return
+		}
+	}
+}
+
+func (m *Model) takeRoster() *record.Roster {
+	m.write.rosterChanged = false
+	m.write.rosterSent = map[string]bool{}
+	roster := &record.Roster{}
+	for _, w := range m.order {
+		m.write.rosterSent[w.ID] = true
+		roster.Workers = append(roster.Workers, record.RosterEntry{
+			ID: w.ID, Address: w.Address.String(), Domain: w.Domain, Target: w.Target,
+		})
+	}
+	return roster
+}
+
+// lengths returns how many jobs of each queue have not begun.
+func (m *Model) lengths() *record.Waiting {
+	counts := map[string]int{}
+	for _, j := range m.jobs {
+		if !j.started {
+			counts[j.spec.Queue]++
+		}
+	}
+	lengths := &record.Waiting{}
+	for queue, n := range counts {
+		lengths.Queues = append(lengths.Queues, record.QueueLength{Queue: queue, Jobs: n})
+	}
+	slices.SortFunc(lengths.Queues, func(a, b record.QueueLength) int { return cmp.Compare(a.Queue, b.Queue) })
+	return lengths
+}
+
+// written takes in that the batch is stored.
+func (m *Model) written(now time.Time, msg WrittenMsg) {
+	s := &m.write
+	if msg.Batch != s.batch {
+		return
+	}
+	s.outstanding = false
+	for id, number := range s.acks {
+		if w, ok := m.workers[id]; ok && number <= w.seen {
+			w.durable = number
+			w.nextLook = earlier(w.nextLook, now)
+		}
+	}
+	for id := range s.rosterSent {
+		if w, ok := m.workers[id]; ok && !w.rostered {
+			w.rostered = true
+			m.changed = true
+		}
+	}
+	s.acks, s.rosterSent = nil, nil
+}
--- /dev/null
+++ b/internal/edge/fleet/front.go
@@ -0,0 +1,188 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/rattanshore/rattanshore/internal/core/gate"
+	"github.com/rattanshore/rattanshore/internal/core/jobs"
+	"github.com/rattanshore/rattanshore/internal/edge/store"
+	"github.com/rattanshore/rattanshore/internal/ops/logev"
+	"github.com/rattanshore/rattanshore/internal/wire/record"
+)
+
+const (
+	// refusedPatience is how long a store that refuses a submission is asked
+	// again before the caller is refused.
+	refusedPatience = 300 * time.Millisecond
+	// lengthsAge is how old the queue lengths that are shown may be.
+	lengthsAge = 500 * time.Millisecond
+)
+
+// front answers callers from the store. It implements Front.
+type front struct {
+	store store.Store
+	clock func() time.Time
+	log   *zerolog.Logger
+
+	mu       sync.Mutex
+	gate     *gate.Gate
+	stopping bool
+	lengths  record.Waiting
+	// lengthsUntil is when the queue lengths have to be read again.
+	lengthsUntil time.Time
+}
+
+func newFront(s store.Store, clock func() time.Time, log *zerolog.Logger, g *gate.Gate) *front {
+	return &front{store: s, clock: clock, log: log, gate: g}
+}
+
+// Resolve implements Front.
+func (f *front) Resolve(caller Caller) (Route, error) {
+	f.mu.Lock()
+	queue, team, rest, err := f.gate.Admit(f.clock(), caller.Host, caller.Path, caller.Key)
+	version := f.gate.Version()
+	f.mu.Unlock()
+	if err == nil {
+		return Route{Queue: queue, Team: team, Rest: rest}, nil
+	}
+	logev.CallRefused.Log(f.log).Str("path", caller.Path).Int64("config-version", version).Err(err).Send()
+	switch {
+	case errors.Is(err, gate.ErrUnknownQueue):
+		return Route{}, errors.Mark(err, ErrUnknownQueue)
+	case errors.Is(err, gate.ErrUnauthorized):
+		return Route{}, errors.Mark(err, ErrUnauthorized)
+	default:
+		return Route{}, errors.Mark(err, ErrNotReady)
+	}
+}
+
+// Ready implements Front.
+func (f *front) Ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.stopping && f.gate.Open(f.clock())
+}
+
+// Stopping implements Front.
+func (f *front) Stopping() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stopping
+}
+
+func (f *front) stop() {
+	f.mu.Lock()
+	f.stopping = true
+	f.mu.Unlock()
+}
+
+// Submit implements Front.
+func (f *front) Submit(ctx context.Context, route Route, job record.Job) error {
+	if err := jobs.Check(job); err != nil {
+		logev.JobRefused.Log(f.log).Str("job", job.ID).Str("queue", job.Queue).Err(err).Send()
+		return errors.Mark(err, ErrInvalid)
+	}
+	if err := jobs.Supported(job, route.Queue); err != nil {
+		logev.JobRefused.Log(f.log).Str("job", job.ID).Str("queue", job.Queue).Err(err).Send()
+		return errors.Mark(err, ErrNotStored)
+	}
+	value, err := encode(job)
+	if err != nil {
+		return err
+	}
+	row, err := store.Insert(ctx, f.store, store.Row{Key: jobKey(job.ID), Value: value}, refusedPatience)
+	switch {
+	case err == nil:
+		logev.JobRecorded.Log(f.log).Str("job", job.ID).Str("queue", job.Queue).Str("team", job.Team).
+			Int64("row-version", row.Version).Send()
+		return nil
+	case errors.Is(err, store.ErrUnanswered):
+		logev.JobRefused.Log(f.log).Str("job", job.ID).Str("outcome", "open").Err(err).Send()
+		return errors.Mark(err, ErrOpen)
+	default:
+		logev.JobRefused.Log(f.log).Str("job", job.ID).Str("outcome", "not stored").Err(err).Send()
+		return errors.Mark(err, ErrNotStored)
+	}
+}
+
+// State implements Front.
+func (f *front) State(ctx context.Context, _ Route, id string) (record.JobState, error) {
+	row, err := store.Read(ctx, f.store, progressKey(id))
+	if err != nil {
+		return "", errors.Mark(err, ErrNotReady)
+	}
+	if row.Version > 0 {
+		var p record.Progress
+		if err := decode(row.Value, &p); err != nil {
+			return "", errors.Mark(err, ErrNotReady)
+		}
+		return p.State, nil
+	}
+	row, err = store.Read(ctx, f.store, jobKey(id))
+	if err != nil {
+		return "", errors.Mark(err, ErrNotReady)
+	}
+	if row.Version == 0 {
+		return "", ErrUnknownJob
+	}
+	return record.Queued, nil
+}
+
+// Cancel implements Front.
+func (f *front) Cancel(ctx context.Context, _ Route, id string) error {
+	row, err := store.Read(ctx, f.store, jobKey(id))
+	if err != nil {
+		return errors.Mark(err, ErrNotReady)
+	}
+	if row.Version == 0 {
+		return ErrUnknownJob
+	}
+	value, err := encode(f.clock())
+	if err != nil {
+		return err
+	}
+	_, err = store.Insert(ctx, f.store, store.Row{Key: cancelKey(id), Value: value}, refusedPatience)
+	switch {
+	case err == nil:
+		logev.CancelRecorded.Log(f.log).Str("job", id).Send()
+		return nil
+	case errors.Is(err, store.ErrUnanswered):
+		return errors.Mark(err, ErrOpen)
+	default:
+		return errors.Mark(err, ErrNotStored)
+	}
+}
+
+// Waiting implements Front.
+func (f *front) Waiting(ctx context.Context, route Route) (int, error) {
+	f.mu.Lock()
+	lengths, fresh := f.lengths, f.clock().Before(f.lengthsUntil)
+	f.mu.Unlock()
+	if !fresh {
+		sentAt := f.clock()
+		row, err := store.Read(ctx, f.store, waitingKey)
+		if err != nil {
+			return 0, errors.Mark(err, ErrNotReady)
+		}
+		lengths = record.Waiting{}
+		if row.Version > 0 {
+			if err := decode(row.Value, &lengths); err != nil {
+				return 0, errors.Mark(err, ErrNotReady)
+			}
+		}
+		f.mu.Lock()
+		f.lengths, f.lengthsUntil = lengths, sentAt.Add(lengthsAge)
+		f.mu.Unlock()
+	}
+	for _, q := range lengths.Queues {
+		if q.Queue == route.Queue.Name {
+			return q.Jobs, nil
+		}
+	}
+	return 0, nil
+}
--- /dev/null
+++ b/internal/edge/fleet/lead.go
@@ -0,0 +1,111 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattanshore/rattanshore/internal/core/plan"
+	"github.com/rattanshore/rattanshore/internal/edge/store"
+	"github.com/rattanshore/rattanshore/internal/ops/logev"
+	"github.com/rattanshore/rattanshore/internal/wire/record"
+)
+
+const (
+	// leaderPoll lies between two looks at the leader's row.
+	leaderPoll = 400 * time.Millisecond
+	// leaderSilence is how long the row must stay as it is before another
+	// host takes over. Safety does not rest on it.
+	leaderSilence = 1800 * time.Millisecond
+	// leaderCall bounds one call about the leader's row.
+	leaderCall = 1200 * time.Millisecond
+	// handOverTimeout bounds the last write of a leader that stops.
+	handOverTimeout = 1500 * time.Millisecond
+)
+
+// lead watches the leader's row, takes it over when its holder is silent or
+// has handed it over, and plans while it is held.
+func (h *Host) lead(ctx context.Context) {
+	var seen store.Row
+	var silentFrom time.Time
+	for ctx.Err() == nil {
+		row, err := h.leaderRow(ctx)
+		now := h.clock()
+		if err == nil {
+			if row.Version != seen.Version || silentFrom.IsZero() {
+				seen, silentFrom = row, now
+			}
+			leader := decodeLeader(row)
+			if leader.Host == "" || now.Sub(silentFrom) > leaderSilence {
+				if epoch, lane, ok := h.takeOver(ctx, row, leader); ok {
+					h.plan(ctx, epoch, lane)
+				}
+				silentFrom = time.Time{}
+				continue
+			}
+		}
+		sleep(ctx, leaderPoll/2+rand.N(leaderPoll))
+	}
+}
+
+func (h *Host) leaderRow(ctx context.Context) (store.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderCall)
+	defer cancel()
+	return store.Read(ctx, h.store, leaderKey)
+}
+
+// decodeLeader reads the leader's row. One that cannot be read has no holder.
+func decodeLeader(row store.Row) record.Leader {
+	var leader record.Leader
+	if row.Version == 0 || decode(row.Value, &leader) != nil {
+		return record.Leader{}
+	}
+	return leader
+}
+
+// takeOver writes the leader's row under a new epoch.
+func (h *Host) takeOver(ctx context.Context, row store.Row, before record.Leader) (int64, *store.Lane, bool) {
+	lane := store.NewLane(h.store, leaderKey, row.Version)
+	leader := h.leader(before.Epoch+1, 0)
+	value, err := encode(leader)
+	if err != nil {
+		logev.InternalProblem.Log(h.log).Err(err).Send()
+		return 0, nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaderCall)
+	defer cancel()
+	if err := lane.Apply(ctx, store.Change{}, value); err != nil {
+		return 0, nil, false
+	}
+	logev.LeaderTaken.Log(h.log).Int64("epoch", leader.Epoch).Str("before", before.Host).Int64("row-version", row.Version).Send()
+	return leader.Epoch, lane, true
+}
+
+func (h *Host) leader(epoch, sequence int64) record.Leader {
+	return record.Leader{Host: h.settings.Host.ID, Incarnation: h.incarnation, Epoch: epoch, Sequence: sequence}
+}
+
+// plan runs the planner until ctx ends or another host leads.
+func (h *Host) plan(ctx context.Context, epoch int64, lane *store.Lane) {
+	session := newSession(h, epoch, lane)
+	err := session.run(ctx)
+	logev.LeaderLost.Log(h.log).Int64("epoch", epoch).AnErr("reason", err).Send()
+	if ctx.Err() != nil && !errors.Is(err, store.ErrFenced) {
+		session.handOver()
+	}
+}
+
+// timing returns the planner's timing under the platform's bounds.
+func (h *Host) timing() plan.Timing {
+	t := plan.DefaultTiming()
+	b := h.settings.Bounds
+	t.LongestLease = b.LongestLease
+	t.Lease = min(t.Lease, b.LongestLease)
+	t.GangWait = min(t.GangWait, b.GangWait)
+	t.CheckpointEvery = b.CheckpointEvery
+	t.SpreadFactor = b.SpreadFactor
+	t.KeepEnded = b.KeepEnded + t.KeepEnded/4
+	return t
+}
--- a/internal/ops/logev/logev.go
+++ b/internal/ops/logev/logev.go
@@ -19,6 +19,7 @@
 	HostStopping    Event = 101
 	HostStopped     Event = 102
 	SessionLost     Event = 103
+	SettingsChanged Event = 104
 	TableLost       Event = 110
 	TableBack       Event = 111
 	StandingLost    Event = 112
@@ -28,6 +29,11 @@
 	ShardTaken      Event = 130
 	ShardGivenUp    Event = 131
 	ShardLost       Event = 132
+	LeaderTaken     Event = 150
+	LeaderLost      Event = 151
+	LeaderGivenUp   Event = 152
+	PlanLoaded      Event = 153
+	RowSkipped      Event = 154
 	ConfigInForce   Event = 140
 	ConfigAccepted  Event = 141
 	ConfigRefused   Event = 142
@@ -50,7 +56,11 @@
 	GangEnded       Event = 315
 	GangTaken       Event = 316
 	GangEvacuated   Event = 317
+	TaskEnded       Event = 318
+	JobEnded        Event = 319
 	WorkerSetAside  Event = 320
+	WorkerSilent    Event = 321
+	JobTaken        Event = 322
 	InternalProblem Event = 900
 )
 
@@ -67,6 +77,7 @@
 	{HostStopping, "host-stopping", zerolog.InfoLevel, "A planned stop has begun: nothing new is taken on."},
 	{HostStopped, "host-stopped", zerolog.InfoLevel, "The stop is complete; no request in progress was cut off unless the count says so."},
 	{SessionLost, "session-lost", zerolog.ErrorLevel, "Another process has written this host's session row; the host stops."},
+	{SettingsChanged, "settings-changed", zerolog.InfoLevel, "The settings file has changed; what it says holds from the next start."},
 	{TableLost, "table-lost", zerolog.WarnLevel, "The table service does not answer this host."},
 	{TableBack, "table-back", zerolog.InfoLevel, "The table service answers again."},
 	{StandingLost, "standing-lost", zerolog.WarnLevel, "The configuration in force may be a newer one; this host takes no decisions."},
@@ -76,6 +87,11 @@
 	{ShardTaken, "shard-taken", zerolog.InfoLevel, "This host owns the shard under the given epoch."},
 	{ShardGivenUp, "shard-given-up", zerolog.InfoLevel, "The shard was handed over at a planned stop."},
 	{ShardLost, "shard-lost", zerolog.WarnLevel, "Another host owns the shard; this one has stopped deciding for it."},
+	{LeaderTaken, "leader-taken", zerolog.InfoLevel, "This host plans for all workers under the given epoch."},
+	{LeaderLost, "leader-lost", zerolog.WarnLevel, "This host has stopped planning; the reason says why."},
+	{LeaderGivenUp, "leader-given-up", zerolog.InfoLevel, "The lead was handed over at a planned stop."},
+	{PlanLoaded, "plan-loaded", zerolog.InfoLevel, "The rows that earlier leaders left are read."},
+	{RowSkipped, "row-skipped", zerolog.WarnLevel, "A row of the store cannot be read and is left alone."},
 	{ConfigInForce, "config-in-force", zerolog.InfoLevel, "Decisions use this configuration version from now on."},
 	{ConfigAccepted, "config-accepted", zerolog.InfoLevel, "An operator's change was committed as this version."},
 	{ConfigRefused, "config-refused", zerolog.InfoLevel, "An operator's change was refused for the given reason."},
@@ -98,6 +114,10 @@
 	{GangEnded, "gang-ended", zerolog.InfoLevel, "A job has its final state."},
 	{GangTaken, "gang-taken", zerolog.InfoLevel, "A running gang was taken over whole by the shard's new owner."},
 	{GangEvacuated, "gang-evacuated", zerolog.InfoLevel, "A gang leaves a failure domain that is out of service."},
+	{TaskEnded, "task-ended", zerolog.DebugLevel, "A task, or a gang, has ended successfully."},
+	{JobEnded, "job-ended", zerolog.InfoLevel, "A job of steps has its final state."},
+	{WorkerSilent, "worker-silent", zerolog.WarnLevel, "A worker does not answer or has started anew; the detail says which."},
+	{JobTaken, "job-taken", zerolog.InfoLevel, "The leader has read a job's row and plans it."},
 	{WorkerSetAside, "worker-set-aside", zerolog.WarnLevel, "A worker gets no work for a while because its tasks fail."},
 	{InternalProblem, "internal-problem", zerolog.ErrorLevel, "Something that should not happen; please report it."},
 }
--- a/internal/ops/setng/check.go
+++ b/internal/ops/setng/check.go
@@ -12,7 +12,7 @@
 )
 
 // schemaOf returns the node tree of the settings, which holds every key.
-func schemaOf(s Settings) *yaml.Node {
+func schemaOf(s any) *yaml.Node {
 	var node yaml.Node
 	if err := node.Encode(s); err != nil {
 		panic("settings cannot be encoded: " + err.Error())
--- a/internal/ops/verbs/serve.go
+++ b/internal/ops/verbs/serve.go
@@ -20,11 +20,19 @@
 
 func (a *app) serveCommand() *cobra.Command {
 	var file string
+	var onFleet bool
 	cmd := &cobra.Command{
 		Use:   "serve --config FILE",
 		Short: "Run an entry host until SIGTERM, then stop gracefully",
 		Args:  exactly(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if onFleet {
+				settings, err := setng.LoadFleet(file)
+				if err != nil {
+					return err
+				}
+				return serveFleet(cmd.Context(), settings)
+			}
 			settings, err := setng.Load(file, os.Getenv)
 			if err != nil {
 				return err
@@ -36,6 +44,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&file, "config", "", "settings file")
+	cmd.Flags().BoolVar(&onFleet, "fleet", false, "plan the workers of a platform that keeps all state in its store")
 	_ = cmd.MarkFlagRequired("config")
 	return cmd
 }
