Ended jobs are not run again when their rows are read again

Ruled out: late ends (every second start followed a whole reading). Change: ended jobs are remembered until well after their rows are told to go. Test: 'is not run again when its row is read again after its end', red before. TestPromisesUnderFaults is new and still red.

--- /dev/null
+++ b/internal/core/plan/fault_test.go
@@ -0,0 +1,105 @@
+package plan_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rattanshore/rattanshore/internal/core/plan"
+	"github.com/rattanshore/rattanshore/internal/wire/record"
+)
+
+// TestPromisesUnderFaults plays jobs against workers that lose answers, carry
+// orders out late, are cut off, die and hang, while the store is away and the
+// lead changes. Whatever happens, nothing runs twice and nothing is lost.
+func TestPromisesUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), 12)
+		w.loseAnswer = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "lost")
+		w.late = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "late")
+		w.fails = func(task plan.TaskID, _ *fakeWorker) bool {
+			return task.Job < "0000000000000004" && w.random.Float64() < 0.3
+		}
+		w.run(200 * time.Millisecond)
+		number := 0
+		for range rapid.IntRange(4, 25).Draw(t, "events") {
+			act(t, w, &number)
+			w.run(time.Duration(rapid.IntRange(10, 2500).Draw(t, "pause")) * time.Millisecond)
+		}
+		heal(w)
+		w.run(90 * time.Second)
+		for _, p := range w.problems {
+			t.Error(p)
+		}
+		for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
+			switch w.state(id) {
+			case record.Completed, record.Failed, record.Cancelled:
+			default:
+				t.Errorf("%s is left as %q", id, w.state(id))
+			}
+		}
+	})
+}
+
+// act lets one random thing happen.
+func act(t *rapid.T, w *world, number *int) {
+	f := w.workers[fmt.Sprintf("worker-%02d", rapid.IntRange(0, 11).Draw(t, "worker"))]
+	switch rapid.IntRange(0, 9).Draw(t, "what") {
+	case 0, 1, 2, 3:
+		*number++
+		w.submit(randomJob(t, *number))
+	case 4:
+		if *number > 0 {
+			w.cancel(fmt.Sprintf("%016x", rapid.IntRange(1, *number).Draw(t, "job")))
+		}
+	case 5:
+		f.cut = !f.cut
+	case 6:
+		w.crash(f)
+	case 7:
+		w.lead()
+	case 8:
+		w.storeDown = !w.storeDown
+	case 9:
+		f.hangs = true
+	}
+}
+
+func randomJob(t *rapid.T, number int) record.Job {
+	s := step(rapid.IntRange(1, 6).Draw(t, "tasks"), rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(t, "accelerators"))
+	s.Gang = rapid.Bool().Draw(t, "gang")
+	s.SameRack = rapid.Bool().Draw(t, "same rack")
+	s.SavesProgress = rapid.Bool().Draw(t, "saves")
+	j := job(number, rapid.SampledFrom([]string{"urgent", "long", "patient"}).Draw(t, "queue"), s)
+	if rapid.Bool().Draw(t, "two steps") {
+		second := step(2, 1)
+		second.After = []int{0}
+		j.Steps = append(j.Steps, second)
+	}
+	return j
+}
+
+// crash ends a worker, and starts a new life of it.
+func (w *world) crash(f *fakeWorker) {
+	id := f.entry.ID
+	f.dead = true
+	fresh := w.addWorker(id, f.entry.Domain, f.entry.Rack)
+	fresh.entry.Address = f.entry.Address
+	w.after(time.Second, func() { w.send(plan.WorkersMsg{Changed: []plan.Worker{fresh.entry}}) })
+}
+
+// heal ends every fault.
+func heal(w *world) {
+	w.loseAnswer, w.late, w.storeDown = 0, 0, false
+	for _, f := range w.workers {
+		f.cut = false
+		if f.hangs {
+			w.crash(f)
+		}
+	}
+	w.fails = func(plan.TaskID, *fakeWorker) bool { return false }
+}
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -89,6 +89,9 @@
 	if _, known := m.jobs[id]; known {
 		return
 	}
+	if _, over := m.write.ended[id]; over {
+		return
+	}
 	switch msg.Progress.State {
 	case record.Completed, record.Failed, record.Cancelled:
 		m.keepEnded(id, msg.Progress.EndedAt)
--- /dev/null
+++ b/internal/core/plan/plan_test.go
@@ -0,0 +1,76 @@
+package plan_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanshore/rattanshore/internal/core/plan"
+	"github.com/rattanshore/rattanshore/internal/wire/record"
+)
+
+var _ = Describe("a job", func() {
+	It("runs all tasks of a gang and is completed", func() {
+		w := newWorld(1, 12)
+		w.run(100 * time.Millisecond)
+		w.submit(job(1, "long", gangStep(5, 4)))
+		w.run(4 * time.Second)
+		Expect(w.problems).To(BeEmpty())
+		Expect(w.state(job(1, "", step(1, 1)).ID)).To(Equal(record.Completed))
+	})
+
+	It("runs its steps in order", func() {
+		w := newWorld(1, 12)
+		w.run(100 * time.Millisecond)
+		j := job(1, "patient", step(6, 1))
+		second := step(3, 2)
+		second.After = []int{0}
+		j.Steps = append(j.Steps, second)
+		w.submit(j)
+		w.run(6 * time.Second)
+		Expect(w.problems).To(BeEmpty())
+		Expect(w.state(j.ID)).To(Equal(record.Completed))
+	})
+
+	It("fails after as many failed runs as its queue allows", func() {
+		w := newWorld(1, 12)
+		w.fails = func(plan.TaskID, *fakeWorker) bool { return true }
+		w.run(100 * time.Millisecond)
+		j := job(1, "long", step(1, 1))
+		w.submit(j)
+		w.run(15 * time.Second)
+		Expect(w.problems).To(BeEmpty())
+		Expect(w.state(j.ID)).To(Equal(record.Failed))
+		Expect(w.failures[plan.TaskID{Job: j.ID}]).To(Equal(3))
+	})
+
+	It("is stopped when it is cancelled, and not started again", func() {
+		w := newWorld(1, 12)
+		w.run(100 * time.Millisecond)
+		j := job(1, "long", gangStep(5, 4))
+		w.submit(j)
+		w.run(time.Second)
+		w.cancel(j.ID)
+		w.run(2 * time.Second)
+		Expect(w.problems).To(BeEmpty())
+		Expect(w.state(j.ID)).To(Equal(record.Cancelled))
+		for _, f := range w.workers {
+			Expect(f.runs).To(BeEmpty())
+		}
+	})
+
+	// The store may drop its history; every job row is then read once more.
+	It("is not run again when its row is read again after its end", func() {
+		w := newWorld(1, 12)
+		w.run(100 * time.Millisecond)
+		j := job(1, "long", gangStep(5, 4))
+		w.submit(j)
+		w.run(4 * time.Second)
+		Expect(w.state(j.ID)).To(Equal(record.Completed))
+		w.send(plan.JobMsg{Job: w.jobs[j.ID]})
+		w.run(4 * time.Second)
+		Expect(w.problems).To(BeEmpty())
+		Expect(w.state(j.ID)).To(Equal(record.Completed))
+	})
+})
--- a/internal/core/plan/write.go
+++ b/internal/core/plan/write.go
@@ -13,6 +13,9 @@
 // a hundred entries, some of which the lane needs.
 const maxRows = 90
 
+// forgetAfter is how long an ended job is known after its rows were told to go.
+const forgetAfter = time.Minute
+
 // writeState is what waits to be stored and what is being stored.
 type writeState struct {
 	outstanding bool
@@ -28,6 +31,8 @@
 
 	// ended names jobs whose final state is known, with when they ended.
 	ended map[string]time.Time
+	// forgotten names ended jobs whose rows were told to go, and when.
+	forgotten map[string]time.Time
 
 	ackChanged     bool
 	acks           map[string]int64
@@ -42,6 +47,7 @@
 		dirty:      map[string]*job{},
 		endedDirty: map[string]record.Progress{},
 		ended:      map[string]time.Time{},
+		forgotten:  map[string]time.Time{},
 	}
 }
 
@@ -132,18 +138,31 @@
 	}
 }
 
+// takeForgotten returns ended jobs whose rows may go. They are remembered here
+// a while longer, since a reading of the rows may be under way.
 func (m *Model) takeForgotten(now time.Time, most int) []string {
 	var ids []string
 	for id, at := range m.write.ended {
+		if _, sent := m.write.forgotten[id]; sent {
+			continue
+		}
 		if len(ids) >= most/2 {
 			break
 		}
 		if now.Sub(at) > m.timing.KeepEnded {
 			ids = append(ids, id)
-			delete(m.write.ended, id)
 		}
 	}
 	slices.Sort(ids)
+	for _, id := range ids {
+		m.write.forgotten[id] = now
+	}
+	for id, at := range m.write.forgotten {
+		if now.Sub(at) > forgetAfter {
+			delete(m.write.forgotten, id)
+			delete(m.write.ended, id)
+		}
+	}
 	return ids
 }
 
