Planner under faults: new lives of workers, refused repeats, silence

Ruled out: two problems of the fake world itself (an order outliving its worker; members of a gang counted one by one).

--- a/internal/core/plan/fault_test.go
+++ b/internal/core/plan/fault_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,6 +36,9 @@
 		for _, p := range w.problems {
 			t.Error(p)
 		}
+		if len(w.problems) > 0 {
+			t.Log(strings.Join(w.decisions, "\n"))
+		}
 		for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
 			switch w.state(id) {
 			case record.Completed, record.Failed, record.Cancelled:
@@ -58,6 +62,7 @@
 		}
 	case 5:
 		f.cut = !f.cut
+		w.note("%s cut %v", f.entry.ID, f.cut)
 	case 6:
 		w.crash(f)
 	case 7:
@@ -66,6 +71,7 @@
 		w.storeDown = !w.storeDown
 	case 9:
 		f.hangs = true
+		w.note("%s hangs", f.entry.ID)
 	}
 }
 
@@ -86,7 +92,11 @@
 // crash ends a worker, and starts a new life of it.
 func (w *world) crash(f *fakeWorker) {
 	id := f.entry.ID
+	w.note("%s crashes", id)
 	f.dead = true
+	for _, r := range f.sorted() {
+		w.breakGang(r, plan.EndBroken)
+	}
 	fresh := w.addWorker(id, f.entry.Domain, f.entry.Rack)
 	fresh.entry.Address = f.entry.Address
 	w.after(time.Second, func() { w.send(plan.WorkersMsg{Changed: []plan.Worker{fresh.entry}}) })
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -33,8 +33,11 @@
 	sentAt      time.Time
 	confirmedAt time.Time
 	// nextTry is when an unanswered order is sent again.
-	nextTry  time.Time
-	calling  bool
+	nextTry time.Time
+	calling bool
+	// open is set once an order to start had no answer: it may have been
+	// carried out, or may still be.
+	open     bool
 	stopSent bool
 	// stoppedAt is when a stop was answered.
 	stoppedAt time.Time
@@ -96,9 +99,7 @@
 	lease := m.leaseFor(now, w)
 	w.leaseUntil = later(w.leaseUntil, lease)
 	r.calling = true
-	if w.heardAt.IsZero() {
-		w.heardAt = now
-	}
+	w.asked(now)
 	m.emit(StartCmd{
 		Worker:     w.ID,
 		Address:    w.Address,
@@ -128,15 +129,15 @@
 	}
 	switch msg.Outcome {
 	case Started:
-		w.heardAt = later(w.heardAt, msg.SentAt)
+		w.answered(msg.SentAt)
 		m.confirm(now, r)
 	case Unanswered:
+		r.open = true
 		r.nextTry = now.Add(m.timing.StartRetry)
 	case Fenced:
 		m.emit(DeposedCmd{})
 	case Replaced:
-		m.reborn(now, w)
-		w.listed = false
+		m.replaced(now, w)
 	case Outdated:
 		r.gang.attempt += attemptSkip
 		m.rejectedStart(now, r, "a later attempt has ended there")
@@ -165,25 +166,22 @@
 // endingStartEnded takes the late answer to a start whose run is to stop.
 func (m *Model) endingStartEnded(now time.Time, r *run, msg StartMsg) {
 	switch msg.Outcome {
-	case NoRoom, Unhealthy, Expired, Invalid, Outdated:
-		if r.stopSent {
-			return
-		}
-		m.dropRun(now, r, "was never started")
-	case Started, Unanswered:
+	case NoRoom, Unhealthy, Expired, Invalid, Outdated, Started, Unanswered:
 		m.stopRun(now, r)
 	case Fenced:
 		m.emit(DeposedCmd{})
 	case Replaced:
-		m.reborn(now, r.worker)
+		m.replaced(now, r.worker)
 	}
 }
 
-// rejectedStart drops a run that certainly is not there and ends its gang's
-// attempt.
+// rejectedStart ends the attempt of a gang of which a start was refused. The
+// run is dropped if it is certain that no earlier order can start it.
 func (m *Model) rejectedStart(now time.Time, r *run, reason string) {
 	g := r.gang
-	m.release(r)
+	if !r.open {
+		m.release(r)
+	}
 	m.breakUp(now, g, "start at "+r.worker.ID+" refused: "+reason)
 }
 
@@ -530,7 +528,6 @@
 		return
 	}
 	r.phase = ending
-	r.stopSent = true
 	r.calling = true
 	r.worker.nextLook = earlier(r.worker.nextLook, now)
 	m.emit(StopCmd{Worker: r.worker.ID, Address: r.worker.Address, Task: r.task, Attempt: r.attempt, Epoch: m.epoch})
@@ -550,7 +547,7 @@
 	case msg.Fenced:
 		m.emit(DeposedCmd{})
 	case msg.Replaced:
-		m.reborn(now, w)
+		m.replaced(now, w)
 	case msg.Answered:
 		r.stoppedAt = now
 	default:
@@ -597,7 +594,7 @@
 
 func (m *Model) retryStarts(now time.Time, g *gang) {
 	for _, r := range g.runs {
-		if r.phase == sending && !r.calling && !now.Before(r.nextTry) {
+		if r.phase == sending && !r.calling && r.worker.heard && !now.Before(r.nextTry) {
 			m.sendStart(now, r)
 		}
 	}
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -36,9 +36,11 @@
 	// inheritedUntil is when a lease from an earlier leader has surely run out.
 	inheritedUntil time.Time
 
-	looking   bool
-	nextLook  time.Time
-	heardAt   time.Time
+	looking  bool
+	nextLook time.Time
+	heardAt  time.Time
+	// askedAt is when the first call was sent that has had no answer since.
+	askedAt   time.Time
 	avoidTill time.Time
 
 	// seen is the number of the newest end that was taken in, durable the one
@@ -90,8 +92,12 @@
 
 // inheritedLease returns when every lease from earlier leaders has run out.
 func (m *Model) inheritedLease(now time.Time) time.Time {
-	longest := time.Duration(float64(m.timing.LongestLease) * (1 + clockDrift))
-	return later(now, m.takenAt.Add(longest+clockMargin))
+	return later(now, m.takenAt.Add(m.longestLease()))
+}
+
+// longestLease returns how long any lease may last on a slow clock.
+func (m *Model) longestLease() time.Duration {
+	return time.Duration(float64(m.timing.LongestLease)*(1+clockDrift)) + clockMargin
 }
 
 func (m *Model) setWorkers(now time.Time, msg WorkersMsg) {
@@ -156,19 +162,30 @@
 	m.sortWorkers()
 }
 
-// reborn takes in that a new life of the worker runs nothing of the old one.
+// reborn takes in that the worker has begun a new life. What runs in it is
+// known at the next look, since a start may have reached it already.
 func (m *Model) reborn(now time.Time, w *worker) {
-	for _, r := range w.sorted() {
-		m.dropRun(now, r, "its worker started anew")
-	}
 	w.clock = time.Time{}
 	w.leaseUntil = time.Time{}
 	w.heard = false
 	w.seen, w.durable, w.acked = 0, 0, 0
-	w.inheritedUntil = now
+	w.inheritedUntil = later(w.inheritedUntil, now.Add(m.longestLease()))
+	w.nextLook = now
 	m.decide(WorkerLost, nil, w, "started anew")
 }
 
+// replaced takes in that another worker answers at the address, so that
+// nothing of this one runs any more.
+func (m *Model) replaced(now time.Time, w *worker) {
+	m.reborn(now, w)
+	for _, r := range w.sorted() {
+		m.dropRun(now, r, "its worker is gone")
+	}
+	w.listed = false
+	w.inheritedUntil = now
+	w.nextLook = now.Add(m.timing.LookRetry)
+}
+
 func (m *Model) sortWorkers() {
 	m.order = m.order[:0]
 	for _, w := range m.workers {
@@ -299,9 +316,23 @@
 		cmd.Wait = 0
 	}
 	w.looking = true
+	w.asked(now)
 	m.emit(cmd)
 }
 
+// asked notes that a call was sent.
+func (w *worker) asked(now time.Time) {
+	if w.askedAt.IsZero() {
+		w.askedAt = now
+	}
+}
+
+// answered notes that a call sent at a time was answered.
+func (w *worker) answered(sentAt time.Time) {
+	w.heardAt = later(w.heardAt, sentAt)
+	w.askedAt = time.Time{}
+}
+
 // lookWait returns how long the worker may keep the answer back.
 func (m *Model) lookWait(w *worker) time.Duration {
 	if !w.heard {
@@ -321,16 +352,14 @@
 		m.emit(DeposedCmd{})
 		return
 	case msg.Replaced:
-		m.reborn(now, w)
-		w.listed = false
-		w.nextLook = now.Add(m.timing.LookRetry)
+		m.replaced(now, w)
 		return
-	case !msg.Answered:
+	case !msg.Answered, !msg.Born.IsZero() && msg.Born.Before(w.Born):
 		w.nextLook = now.Add(m.timing.LookRetry)
 		return
 	}
 	w.nextLook = now
-	w.heardAt = msg.SentAt
+	w.answered(msg.SentAt)
 	w.avoidTill = time.Time{}
 	if !msg.Born.IsZero() && msg.Born.After(w.Born) {
 		if !w.Born.IsZero() {
@@ -355,7 +384,7 @@
 // and takes silent workers out of use.
 func (m *Model) expireWorkers(now time.Time) {
 	for _, w := range m.order {
-		if len(w.runs) > 0 && !w.heardAt.IsZero() && now.Sub(w.heardAt) > m.timing.Silence && now.After(w.avoidTill) {
+		if !w.askedAt.IsZero() && now.Sub(w.askedAt) > m.timing.Silence && now.After(w.avoidTill) {
 			w.avoidTill = now.Add(m.timing.Silence)
 			m.decide(WorkerLost, nil, w, "does not answer")
 		}
