--- a/internal/core/plan/world_test.go
+++ b/internal/core/plan/world_test.go
@@ -55,12 +55,14 @@
 	doneRuns  map[plan.TaskID]int
 	noted     map[plan.TaskID]bool
 	lastStart map[plan.TaskID]time.Time
-	failures  map[plan.TaskID]int
-	startedAt map[string]time.Time
-	endedAt   map[string]time.Time
-	decisions []string
-	problems  []string
-	deposed   bool
+	// lastFailure is when the latest of the failures that were noted came.
+	lastFailure map[plan.TaskID]time.Time
+	failures    map[plan.TaskID]int
+	startedAt   map[string]time.Time
+	endedAt     map[string]time.Time
+	decisions   []string
+	problems    []string
+	deposed     bool
 }
 
 type fakeWorker struct {
@@ -128,9 +130,11 @@
 		doneRuns:  map[plan.TaskID]int{},
 		noted:     map[plan.TaskID]bool{},
 		lastStart: map[plan.TaskID]time.Time{},
-		failures:  map[plan.TaskID]int{},
-		startedAt: map[string]time.Time{},
-		endedAt:   map[string]time.Time{},
+
+		lastFailure: map[plan.TaskID]time.Time{},
+		failures:    map[plan.TaskID]int{},
+		startedAt:   map[string]time.Time{},
+		endedAt:     map[string]time.Time{},
 		config: rules.Config{
 			Version: 1,
 			Queues: []rules.Queue{
@@ -323,6 +327,7 @@
 		msg.Outcome = plan.NoRoom
 		return msg
 	}
+	w.note("%s starts %v attempt %d", f.entry.ID, cmd.Task, cmd.Attempt)
 	w.judgeStart(cmd, f)
 	w.serial++
 	total := w.work(cmd.Task)
@@ -447,7 +452,6 @@
 			return
 		}
 		if w.fails(r.task, f) {
-			w.failures[r.task]++
 			w.end(f, r, plan.EndFailed)
 			return
 		}
@@ -457,6 +461,7 @@
 
 // end ends a run, and with it the other members of its gang.
 func (w *world) end(f *fakeWorker, r *fakeRun, kind plan.EndKind) {
+	w.note("%s ends %v attempt %d kind %d", f.entry.ID, r.task, r.attempt, kind)
 	delete(f.runs, r.task)
 	f.high[r.task] = max(f.high[r.task], r.attempt)
 	f.number++
@@ -587,10 +592,25 @@
 				w.problem("%v was started again after it had ended done at %v", e.Task, at.Sub(origin))
 			}
 		}
+		if e.Kind == plan.EndFailed && !f.lapsedAt.After(at) {
+			w.noteFailure(e.Task, at)
+		}
 		return true
 	})
 }
 
+// noteFailure judges that no task was started after its last failure.
+func (w *world) noteFailure(t plan.TaskID, at time.Time) {
+	w.failures[t]++
+	if at.After(w.lastFailure[t]) {
+		w.lastFailure[t] = at
+	}
+	q, _ := w.config.Queue(w.jobs[t.Job].Queue)
+	if w.failures[t] >= q.MaxAttempts && w.lastStart[t].After(w.lastFailure[t]) {
+		w.problem("%v was started after %d failures", t, w.failures[t])
+	}
+}
+
 // lapse kills what runs on workers whose lease has run out.
 func (w *world) lapse() {
 	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
