A worker that does not answer gets no longer lease

Ruled out: a lost stop, a gang left in the queue. Change: only a look whose predecessors were answered carries a lease; a repeated start keeps its first one.

--- a/internal/core/plan/fault_test.go
+++ b/internal/core/plan/fault_test.go
@@ -52,7 +52,7 @@
 // act lets one random thing happen.
 func act(t *rapid.T, w *world, number *int) {
 	f := w.workers[fmt.Sprintf("worker-%02d", rapid.IntRange(0, 11).Draw(t, "worker"))]
-	switch rapid.IntRange(0, 9).Draw(t, "what") {
+	switch rapid.IntRange(0, 10).Draw(t, "what") {
 	case 0, 1, 2, 3:
 		*number++
 		w.submit(randomJob(t, *number))
@@ -72,6 +72,8 @@
 	case 9:
 		f.hangs = true
 		w.note("%s hangs", f.entry.ID)
+	case 10:
+		w.leave(f)
 	}
 }
 
@@ -102,6 +104,30 @@
 	w.after(time.Second, func() { w.send(plan.WorkersMsg{Changed: []plan.Worker{fresh.entry}}) })
 }
 
+// leave ends a worker for good.
+func (w *world) leave(f *fakeWorker) {
+	alive := 0
+	for _, other := range w.workers {
+		if !other.dead {
+			alive++
+		}
+	}
+	if f.dead || alive < 8 {
+		return
+	}
+	w.note("%s leaves", f.entry.ID)
+	f.dead = true
+	for _, r := range f.sorted() {
+		w.breakGang(r, plan.EndBroken)
+	}
+	id := f.entry.ID
+	w.after(time.Second, func() {
+		if w.workers[id].dead {
+			w.send(plan.WorkersMsg{Gone: []string{id}})
+		}
+	})
+}
+
 // heal ends every fault.
 func heal(w *world) {
 	w.loseAnswer, w.late, w.storeDown = 0, 0, false
--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -73,4 +73,22 @@
 		Expect(w.problems).To(BeEmpty())
 		Expect(w.state(j.ID)).To(Equal(record.Completed))
 	})
+
+	// A worker may leave the list for good with its process; no answer comes.
+	It("is run elsewhere when its worker is gone for good", func() {
+		w := newWorld(1, 2)
+		w.run(100 * time.Millisecond)
+		j := job(1, "long", step(1, 1))
+		w.submit(j)
+		w.run(time.Second)
+		for id, f := range w.workers {
+			if len(f.runs) > 0 {
+				f.dead = true
+				w.send(plan.WorkersMsg{Gone: []string{id}})
+			}
+		}
+		w.run(12 * time.Second)
+		Expect(w.problems).To(BeEmpty())
+		Expect(w.state(j.ID)).To(Equal(record.Completed))
+	})
 })
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -96,8 +96,11 @@
 
 func (m *Model) sendStart(now time.Time, r *run) {
 	w := r.worker
-	lease := m.leaseFor(now, w)
-	w.leaseUntil = later(w.leaseUntil, lease)
+	lease := w.leaseUntil
+	if !r.open {
+		lease = m.leaseFor(now, w)
+		w.leaseUntil = later(w.leaseUntil, lease)
+	}
 	r.calling = true
 	w.asked(now)
 	m.emit(StartCmd{
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -307,10 +307,12 @@
 		return
 	}
 	cmd := LookCmd{Worker: w.ID, Address: w.Address, Epoch: m.epoch, Acknowledged: w.durable}
-	if len(w.runs) > 0 && !w.clock.IsZero() {
+	if len(w.runs) > 0 && w.heard && w.askedAt.IsZero() {
+		// A worker that has not answered gets no longer lease, so that what it
+		// runs is known to be over at some time.
 		cmd.LeaseUntil = m.leaseFor(now, w)
 		w.leaseUntil = later(w.leaseUntil, cmd.LeaseUntil)
-		cmd.Wait = m.lookWait(w)
+		cmd.Wait = m.timing.LookWait
 	}
 	if w.seen > w.durable {
 		cmd.Wait = 0
@@ -333,14 +335,6 @@
 	w.askedAt = time.Time{}
 }
 
-// lookWait returns how long the worker may keep the answer back.
-func (m *Model) lookWait(w *worker) time.Duration {
-	if !w.heard {
-		return 0
-	}
-	return m.timing.LookWait
-}
-
 func (m *Model) lookEnded(now time.Time, msg LookMsg) {
 	w, ok := m.workers[msg.Worker]
 	if !ok {
