Failures that an earlier leader could not store are counted; preemption by value

Ruled out: a lost progress row (the row was as old as the store's last answer to epoch 3). Change: the end of an earlier attempt counts unless that run had been given up. Test: 'counts failures that an earlier leader saw and could not store', red before.

--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -40,7 +40,9 @@
 	phase   phase
 	attempt int
 	// failed lists the attempts that ended by a failure.
-	failed     []int
+	failed []int
+	// lost lists the attempts of which a run was given up here.
+	lost       []int
 	checkpoint string
 	// failedOn names the workers on which an attempt has failed.
 	failedOn map[string]bool
@@ -56,23 +58,24 @@
 	// together is when the newest attempt was first seen at work whole.
 	together time.Time
 	preempts int
-	slow     bool
+	// resumed is set when the attempt began from a checkpoint, away when it
+	// runs away from its data or over several racks.
+	resumed bool
+	away    bool
 }
 
 // job is a job that has not ended.
 type job struct {
-	spec     record.Job
-	state    record.JobState
-	queue    rules.Queue
-	gangs    []*gang
-	open     map[stepKey]int
-	attempt  int
-	adopted  bool
-	started  bool
-	reason   string
-	wholeAt  time.Time
-	partAt   time.Time
-	value    float64
+	spec    record.Job
+	state   record.JobState
+	queue   rules.Queue
+	gangs   []*gang
+	open    map[stepKey]int
+	attempt int
+	adopted bool
+	started bool
+	reason  string
+	// coreSecs is the job's work in core-seconds, by its estimates.
 	coreSecs float64
 }
 
@@ -81,9 +84,6 @@
 	occurrence, step int
 }
 
-// partialCredit is how many times the whole objective a job still earns some.
-const partialCredit = 3
-
 func (m *Model) addJob(now time.Time, msg JobMsg) {
 	id := msg.Job.ID
 	if _, known := m.jobs[id]; known {
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -12,34 +12,12 @@
 // benches end and deadlines pass without a message.
 const passInterval = 200 * time.Millisecond
 
-// rate works out until when a job earns and what it takes.
+// rate works out the size of a new job.
 func (m *Model) rate(j *job) {
-	begin := j.spec.SubmittedAt
-	if !j.spec.FirstDueAt.IsZero() {
-		begin = j.spec.FirstDueAt
-	}
-	span := time.Duration(j.queue.Stretch*float64(m.chain(j))) + j.queue.Objective
-	j.wholeAt = begin.Add(span)
-	j.partAt = begin.Add(partialCredit * span)
-	j.coreSecs = 0
 	for _, s := range j.spec.Steps {
 		j.coreSecs += float64(s.Tasks) * cores(s.Need) * float64(s.EstimateMillis) / 1000
 	}
-}
-
-// chain returns the longest chain of work of the job by its estimates.
-func (m *Model) chain(j *job) time.Duration {
-	ends := make([]time.Duration, len(j.spec.Steps))
-	longest := time.Duration(0)
-	for i, s := range j.spec.Steps {
-		var begin time.Duration
-		for _, a := range s.After {
-			begin = max(begin, ends[a])
-		}
-		ends[i] = begin + time.Duration(s.EstimateMillis)*time.Millisecond
-		longest = max(longest, ends[i])
-	}
-	return longest
+	m.learn.submitted(j)
 }
 
 // standing orders gangs by what they can still earn.
@@ -51,18 +29,6 @@
 	earnsNothing
 )
 
-func (m *Model) standingOf(now time.Time, g *gang) standing {
-	end := now.Add(m.expected(g))
-	switch {
-	case end.Before(g.job.wholeAt):
-		return earnsWhole
-	case end.Before(g.job.partAt):
-		return earnsPart
-	default:
-		return earnsNothing
-	}
-}
-
 // ranked is a waiting gang with what it is ordered by.
 type ranked struct {
 	gang     *gang
@@ -72,12 +38,18 @@
 }
 
 func (m *Model) rank(now time.Time, g *gang) ranked {
-	return ranked{
-		gang:     g,
-		standing: m.standingOf(now, g),
-		priority: g.job.queue.Priority,
-		startBy:  g.job.wholeAt.Add(-m.expected(g)),
+	work := m.expected(g)
+	whole, part := m.deadlines(g.job)
+	r := ranked{gang: g, priority: g.job.queue.Priority, startBy: whole.Add(-work)}
+	switch end := now.Add(work); {
+	case !end.After(whole):
+		r.standing = earnsWhole
+	case !end.After(part):
+		r.standing = earnsPart
+	default:
+		r.standing = earnsNothing
 	}
+	return r
 }
 
 // compareRanked puts urgent work first, within a priority what still earns
@@ -148,7 +120,7 @@
 		m.place(now, g, places)
 		return
 	}
-	if r.priority == 0 && r.standing != earnsNothing && m.preempt(now, g) {
+	if r.priority == 0 && m.preempt(now, g) {
 		return
 	}
 	failed[d] = struct{}{}
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -50,6 +50,12 @@
 	SpreadFactor float64
 	// CheckpointEvery is the work between two checkpoints.
 	CheckpointEvery time.Duration
+	// Restore is how long it takes to go on from a checkpoint.
+	Restore time.Duration
+	// TaskStop is how long a stopped task may take to end.
+	TaskStop time.Duration
+	// Reclaim is how soon urgent work within its team's guarantee must begin.
+	Reclaim time.Duration
 }
 
 // DefaultTiming returns the timing that the settings start from.
@@ -70,6 +76,9 @@
 		WaitingInterval: 700 * time.Millisecond,
 		SpreadFactor:    3,
 		CheckpointEvery: 2 * time.Second,
+		Restore:         300 * time.Millisecond,
+		TaskStop:        500 * time.Millisecond,
+		Reclaim:         2900 * time.Millisecond,
 	}
 }
 
--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -91,4 +91,32 @@
 		Expect(w.problems).To(BeEmpty())
 		Expect(w.state(j.ID)).To(Equal(record.Completed))
 	})
+
+	// A leader that cannot reach the store acknowledges nothing, and its
+	// successor finds the ends of several attempts at once.
+	It("counts failures that an earlier leader saw and could not store", func() {
+		w := newWorld(1, 12)
+		w.fails = func(plan.TaskID, *fakeWorker) bool { return true }
+		w.work = func(plan.TaskID) time.Duration { return 3 * time.Second }
+		w.run(100 * time.Millisecond)
+		w.storeDown = true
+		j := job(1, "long", step(1, 1))
+		w.submit(j)
+		w.run(7 * time.Second)
+		Expect(w.failures).To(BeEmpty())
+		w.storeDown = false
+		// The run at work is found before the ends of the earlier ones.
+		for _, f := range w.workers {
+			f.cut = len(f.ended) > 0
+		}
+		w.lead()
+		w.run(300 * time.Millisecond)
+		for _, f := range w.workers {
+			f.cut = false
+		}
+		w.run(15 * time.Second)
+		Expect(w.problems).To(BeEmpty())
+		Expect(w.state(j.ID)).To(Equal(record.Failed))
+		Expect(w.starts[plan.TaskID{Job: j.ID}]).To(Equal(3))
+	})
 })
--- a/internal/core/plan/preempt.go
+++ b/internal/core/plan/preempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -12,35 +11,30 @@
 // victim is a gang that may lose its places, with what that costs.
 type victim struct {
 	gang *gang
-	// loss is the core-seconds of work that would be thrown away.
 	loss float64
-	// freed is the accelerators, in cores, that it would give back.
-	freed float64
 }
 
-// preempt makes room for an urgent gang by stopping work that loses least,
-// and keeps the room for it. It reports whether enough can be made.
+// offer is a way of making room: whom to stop, and where to go.
+type offer struct {
+	victims []victim
+	places  []*worker
+	loss    float64
+}
+
+// preempt makes room for an urgent gang by stopping the work that loses least,
+// if the gang gains more than that, and keeps the room for it. A gang within
+// its team's guarantee gets its room in any case before its time is up.
 func (m *Model) preempt(now time.Time, g *gang) bool {
-	candidates := m.victims(now, g)
-	if len(candidates) == 0 {
+	forced := m.mustReclaim(now, g)
+	best, ok := m.cheapest(now, g, forced)
+	if !ok {
 		return false
 	}
-	rm := &room{free: map[*worker]record.Amount{}}
-	var chosen []victim
-	var places []*worker
-	for _, v := range candidates {
-		m.give(rm, v.gang)
-		chosen = append(chosen, v)
-		if places = m.find(now, g, rm); places != nil {
-			break
-		}
-	}
-	if places == nil {
+	if !forced && m.gain(now, g) <= best.loss {
 		return false
 	}
-	chosen, places = m.spareVictims(now, g, chosen, places)
-	m.reserve(now, g, places)
-	for _, v := range chosen {
+	m.reserve(now, g, best.places)
+	for _, v := range best.victims {
 		v.gang.preempts++
 		m.decide(Preempted, v.gang, nil, "for "+g.job.spec.ID)
 		m.breakUp(now, v.gang, "preempted for "+g.job.spec.ID)
@@ -48,32 +42,143 @@
 	return true
 }
 
-// victims returns the gangs that may lose their places to g, cheapest first.
-func (m *Model) victims(now time.Time, g *gang) []victim {
+// gain returns what an urgent gang earns more if room is made for it now than
+// if it starts when room comes by itself.
+func (m *Model) gain(now time.Time, g *gang) float64 {
+	work := m.expected(g)
+	soon := now.Add(m.timing.TaskStop + work)
+	return m.earns(g.job, soon) - m.earns(g.job, soon.Add(ownRoomWait))
+}
+
+const (
+	// ownRoomWait is how long a gang is thought to wait for room that comes by
+	// itself.
+	ownRoomWait = 2 * time.Second
+	// reclaimMargin is kept of the time in which a guarantee must be met.
+	reclaimMargin = 900 * time.Millisecond
+)
+
+// mustReclaim reports whether the gang's team is owed the room and the time
+// to make it has come.
+func (m *Model) mustReclaim(now time.Time, g *gang) bool {
+	due := g.job.spec.SubmittedAt.Add(m.timing.Reclaim - m.timing.TaskStop - reclaimMargin)
+	return !now.Before(due) && m.withinGuarantee(g.job.spec.Team)
+}
+
+// withinGuarantee reports whether all urgent jobs of the team together need no
+// more than what it is guaranteed.
+func (m *Model) withinGuarantee(team string) bool {
+	return m.urgentNeed(team) <= m.guaranteed(team)
+}
+
+func (m *Model) guaranteed(team string) int {
+	for _, t := range m.config.Teams {
+		if t.Name == team {
+			return t.Guaranteed
+		}
+	}
+	return 0
+}
+
+func (m *Model) urgentNeed(team string) int {
+	need := 0
+	for _, j := range m.jobs {
+		if j.queue.Priority != 0 || j.spec.Team != team {
+			continue
+		}
+		for _, s := range j.spec.Steps {
+			need += s.Tasks * s.Need.Accelerators
+		}
+	}
+	return need
+}
+
+// cheapest returns the offer that loses least: over one rack, one failure
+// domain or all workers.
+func (m *Model) cheapest(now time.Time, g *gang, forced bool) (offer, bool) {
+	candidates := m.victims(now, g, forced)
+	var best offer
+	found := false
+	for _, area := range m.areas(g) {
+		o, ok := m.offerIn(now, g, candidates, area)
+		if ok && (!found || o.loss < best.loss) {
+			best, found = o, true
+		}
+	}
+	return best, found
+}
+
+// areas returns the sets of workers among which room may be made.
+func (m *Model) areas(g *gang) [][]*worker {
+	var areas [][]*worker
+	for _, rk := range m.racks {
+		if rk.target == g.job.queue.Target {
+			areas = append(areas, rk.workers)
+		}
+	}
+	if g.spec().SameRack && g.size > 1 && m.rackCanHold(g) {
+		return areas
+	}
+	return append(areas, m.order)
+}
+
+// victims returns the gangs that may lose their places to g. When the team of
+// g is owed the room, urgent work of teams beyond their guarantee may too.
+func (m *Model) victims(now time.Time, g *gang, forced bool) []victim {
 	var all []victim
 	for v := range m.active.All() {
-		if v.phase != placed || v.job.queue.Priority <= g.job.queue.Priority || v.job.queue.Target != g.job.queue.Target {
+		if v.phase != placed || v.job == g.job || v.job.queue.Target != g.job.queue.Target {
 			continue
 		}
-		all = append(all, victim{gang: v, loss: m.lossOf(now, v), freed: float64(v.size) * cores(v.need())})
-	}
-	slices.SortFunc(all, func(a, b victim) int {
-		return cmp.Or(
-			cmp.Compare(a.loss/a.freed, b.loss/b.freed),
-			cmp.Compare(a.gang.job.spec.ID, b.gang.job.spec.ID),
-			cmp.Compare(a.gang.first, b.gang.first),
-		)
-	})
+		yields := v.job.queue.Priority > g.job.queue.Priority
+		if !yields && forced {
+			yields = v.job.spec.Team != g.job.spec.Team && !m.withinGuarantee(v.job.spec.Team)
+		}
+		if yields {
+			all = append(all, victim{gang: v, loss: m.lossOf(now, v)})
+		}
+	}
 	return all
 }
 
-// lossOf returns the core-seconds that stopping the gang would throw away.
-func (m *Model) lossOf(now time.Time, g *gang) float64 {
-	spent := now.Sub(g.startedAt)
-	if g.spec().SavesProgress {
-		spent = min(spent, m.timing.CheckpointEvery)
+// offerIn makes room among the given workers with little loss.
+func (m *Model) offerIn(now time.Time, g *gang, candidates []victim, area []*worker) (offer, bool) {
+	inside := map[*worker]bool{}
+	for _, w := range area {
+		if m.usable(now, w) && w.Target == g.job.queue.Target {
+			inside[w] = true
+		}
+	}
+	type ranking struct {
+		victim
+		price float64
 	}
-	return float64(g.size) * cores(g.need()) * spent.Seconds()
+	var order []ranking
+	for _, v := range candidates {
+		freed := 0.0
+		for _, r := range v.gang.runs {
+			if inside[r.worker] {
+				freed += cores(r.need)
+			}
+		}
+		if freed > 0 {
+			order = append(order, ranking{v, v.loss / freed})
+		}
+	}
+	slices.SortFunc(order, func(a, b ranking) int {
+		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.gang.job.spec.ID, b.gang.job.spec.ID),
+			cmp.Compare(a.gang.first, b.gang.first))
+	})
+	rm := &room{free: map[*worker]record.Amount{}}
+	var chosen []victim
+	for _, v := range order {
+		m.give(rm, v.gang)
+		chosen = append(chosen, v.victim)
+		if places := m.findIn(now, g, rm, area); places != nil {
+			return m.prune(now, g, chosen, places, area), true
+		}
+	}
+	return offer{}, false
 }
 
 // give adds the room of a gang's runs to what is free.
@@ -83,19 +188,28 @@
 	}
 }
 
-// spareVictims leaves out victims without which the gang fits all the same.
-func (m *Model) spareVictims(now time.Time, g *gang, chosen []victim, places []*worker) ([]victim, []*worker) {
-	for i := len(chosen) - 2; i >= 0; i-- {
+// prune leaves out victims without which the gang fits all the same, dearest
+// first.
+func (m *Model) prune(now time.Time, g *gang, chosen []victim, places []*worker, area []*worker) offer {
+	slices.SortFunc(chosen, func(a, b victim) int { return cmp.Compare(b.loss, a.loss) })
+	for i := 0; i < len(chosen); {
 		rest := slices.Delete(slices.Clone(chosen), i, i+1)
 		rm := &room{free: map[*worker]record.Amount{}}
 		for _, v := range rest {
 			m.give(rm, v.gang)
 		}
-		if found := m.find(now, g, rm); found != nil {
-			chosen, places = rest, found
+		found := m.findIn(now, g, rm, area)
+		if found == nil {
+			i++
+			continue
 		}
+		chosen, places = rest, found
+	}
+	o := offer{victims: chosen, places: places}
+	for _, v := range chosen {
+		o.loss += v.loss
 	}
-	return chosen, places
+	return o
 }
 
 // reserve keeps places for a gang until they are free.
@@ -144,8 +258,8 @@
 	for _, w := range g.places {
 		wanted[w] = add(wanted[w], g.need())
 	}
-	for w := range maps.Keys(wanted) {
-		if !fits(wanted[w], add(w.free, w.reserved)) {
+	for w, need := range wanted {
+		if !fits(need, add(w.free, w.reserved)) {
 			return false
 		}
 	}
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -53,6 +54,8 @@
 	g.job.attempt = max(g.job.attempt, g.attempt)
 	g.startedAt = now
 	g.together = time.Time{}
+	g.resumed = g.checkpoint != ""
+	g.away = isAway(g, places)
 	g.deadline = now.Add(m.timing.GangWait)
 	g.places = nil
 	m.active.Add(g)
@@ -73,6 +76,18 @@
 	m.decide(Placed, g, places[0], placeText(places))
 }
 
+// isAway reports whether places are away from the gang's data or spread over
+// racks though it should lie in one.
+func isAway(g *gang, places []*worker) bool {
+	s := g.spec()
+	for _, w := range places {
+		if s.NearRack != "" && w.Rack != s.NearRack || s.SameRack && w.Rack != places[0].Rack {
+			return true
+		}
+	}
+	return false
+}
+
 func placeText(places []*worker) string {
 	text := ""
 	for i, w := range places {
@@ -132,7 +147,7 @@
 	}
 	switch msg.Outcome {
 	case Started:
-		w.answered(msg.SentAt)
+		w.answered()
 		m.confirm(now, r)
 	case Unanswered:
 		r.open = true
@@ -384,12 +399,17 @@
 			g = j.gang(end.Task.Occurrence, end.Task.Step, end.Task.Index)
 		}
 	}
-	if g == nil || g.phase == dead || g.phase == done || end.Attempt < g.attempt && r == nil && g.phase != waiting && g.phase != blocked {
+	if g == nil || g.phase == dead || g.phase == done {
 		if g != nil {
 			m.afterRelease(now, g)
 		}
 		return
 	}
+	current := r != nil || end.Attempt >= g.attempt || g.phase == waiting || g.phase == blocked
+	if !current {
+		m.earlierEnded(now, g, w, end)
+		return
+	}
 	if end.Checkpoint != "" && end.Attempt >= g.attempt {
 		g.checkpoint = end.Checkpoint
 		m.record(now, g.job, false)
@@ -407,6 +427,16 @@
 	}
 }
 
+// earlierEnded takes in the end of an attempt before the present one. It tells
+// something new only if it was never stored, and does not count if the run had
+// been given up.
+func (m *Model) earlierEnded(now time.Time, g *gang, w *worker, end EndReport) {
+	if end.Kind != EndFailed || slices.Contains(g.lost, end.Attempt) {
+		return
+	}
+	m.countFailure(now, g, w, end.Attempt)
+}
+
 func endText(kind EndKind) string {
 	switch kind {
 	case EndStopped:
@@ -444,11 +474,17 @@
 }
 
 func (m *Model) runFailed(now time.Time, g *gang, w *worker, attempt int) {
+	if m.countFailure(now, g, w, attempt) {
+		m.breakUp(now, g, "failed at "+w.ID)
+	}
+}
+
+// countFailure counts a failed attempt once. It reports whether the job goes
+// on.
+func (m *Model) countFailure(now time.Time, g *gang, w *worker, attempt int) bool {
 	m.benched(now, w, g.job.spec.ID)
-	for _, a := range g.failed {
-		if a == attempt {
-			return
-		}
+	if slices.Contains(g.failed, attempt) {
+		return true
 	}
 	g.failed = append(g.failed, attempt)
 	if g.failedOn == nil {
@@ -457,11 +493,11 @@
 	g.failedOn[w.ID] = true
 	limit := g.job.queue.MaxAttempts
 	if limit > 0 && len(g.failed) >= limit && !g.spec().Perpetual {
-		m.endJob(now, g.job, record.Failed, "failed "+strconv.Itoa(len(g.failed))+" times")
-		return
+		m.endJob(now, g.job, record.Failed, strconv.Itoa(len(g.failed))+" attempts failed")
+		return false
 	}
 	m.record(now, g.job, false)
-	m.breakUp(now, g, "failed at "+w.ID)
+	return true
 }
 
 // dropRun takes in that a run is gone without an end of its own.
@@ -470,6 +506,7 @@
 	if r.gang == nil {
 		return
 	}
+	r.gang.lost = append(r.gang.lost, r.attempt)
 	m.breakUp(now, r.gang, reason+" ("+r.worker.ID+")")
 }
 
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -38,7 +38,8 @@
 
 	looking  bool
 	nextLook time.Time
-	heardAt  time.Time
+	// lookedAt is when the newest look was sent that was answered.
+	lookedAt time.Time
 	// askedAt is when the first call was sent that has had no answer since.
 	askedAt   time.Time
 	avoidTill time.Time
@@ -329,9 +330,8 @@
 	}
 }
 
-// answered notes that a call sent at a time was answered.
-func (w *worker) answered(sentAt time.Time) {
-	w.heardAt = later(w.heardAt, sentAt)
+// answered notes that a call was answered.
+func (w *worker) answered() {
 	w.askedAt = time.Time{}
 }
 
@@ -353,7 +353,8 @@
 		return
 	}
 	w.nextLook = now
-	w.answered(msg.SentAt)
+	w.answered()
+	w.lookedAt = msg.SentAt
 	w.avoidTill = time.Time{}
 	if !msg.Born.IsZero() && msg.Born.After(w.Born) {
 		if !w.Born.IsZero() {
--- a/internal/core/plan/world_test.go
+++ b/internal/core/plan/world_test.go
@@ -55,6 +55,7 @@
 	doneRuns  map[plan.TaskID]int
 	noted     map[plan.TaskID]bool
 	lastStart map[plan.TaskID]time.Time
+	starts    map[plan.TaskID]int
 	// lastFailure is when the latest of the failures that were noted came.
 	lastFailure map[plan.TaskID]time.Time
 	failures    map[plan.TaskID]int
@@ -130,6 +131,7 @@
 		doneRuns:  map[plan.TaskID]int{},
 		noted:     map[plan.TaskID]bool{},
 		lastStart: map[plan.TaskID]time.Time{},
+		starts:    map[plan.TaskID]int{},
 
 		lastFailure: map[plan.TaskID]time.Time{},
 		failures:    map[plan.TaskID]int{},
@@ -362,6 +364,7 @@
 		w.problem("%v started again after it was done", cmd.Task)
 	}
 	w.lastStart[cmd.Task] = w.now
+	w.starts[cmd.Task]++
 	for _, f := range w.workers {
 		if r := f.runs[cmd.Task]; r != nil && !f.dead {
 			w.problem("%v started at %s while it runs at %s", cmd.Task, at.entry.ID, f.entry.ID)
--- a/internal/edge/fleet/lead.go
+++ b/internal/edge/fleet/lead.go
@@ -106,6 +106,9 @@
 	t.GangWait = min(t.GangWait, b.GangWait)
 	t.CheckpointEvery = b.CheckpointEvery
 	t.SpreadFactor = b.SpreadFactor
+	t.Restore = b.Restore
+	t.TaskStop = b.TaskStop
+	t.Reclaim = b.Reclaim
 	t.KeepEnded = b.KeepEnded + t.KeepEnded/4
 	return t
 }
--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// changesWait is how long the store may hold back a feed's answer.
-	changesWait = 5 * time.Second
+	// changesWait is how long the store may hold back a feed's answer. A feed
+	// may go silent without a reset, so it is asked anew often.
+	changesWait = time.Second
 	// loadTimeout bounds one try to read what earlier leaders left.
 	loadTimeout = 5 * time.Second
 )
--- a/internal/ops/setng/fleet.go
+++ b/internal/ops/setng/fleet.go
@@ -36,6 +36,9 @@
 	GangWait        time.Duration `yaml:"gang-wait"`
 	CheckpointEvery time.Duration `yaml:"checkpoint-every"`
 	SpreadFactor    float64       `yaml:"spread-factor"`
+	Restore         time.Duration `yaml:"restore"`
+	TaskStop        time.Duration `yaml:"task-stop"`
+	Reclaim         time.Duration `yaml:"reclaim"`
 	KeepEnded       time.Duration `yaml:"keep-ended"`
 	// Revoke is how soon after a change a removed key must not work any more.
 	Revoke time.Duration `yaml:"revoke"`
@@ -61,6 +64,9 @@
 			GangWait:        3 * time.Second,
 			CheckpointEvery: 2 * time.Second,
 			SpreadFactor:    3,
+			Restore:         300 * time.Millisecond,
+			TaskStop:        500 * time.Millisecond,
+			Reclaim:         2900 * time.Millisecond,
 			KeepEnded:       2 * time.Minute,
 			Revoke:          5 * time.Second,
 			StopGrace:       6 * time.Second,
