Faster takeover, headroom for urgent work, leaving and slow workers

Cause: urgent jobs were late around takeovers (1.8 s of silence, 0.4 s polls) and where they had to wait for others to stop. Ruled out: store latency (8 ms a write), start latency (16 ms). Change: the leader renews each 0.25 s and is taken over after 0.75 s and six round trips; an own earlier process at once. Patient work keeps out of whole free workers that urgent arrivals need. Attempts leave workers that end too soon or are slow, if the job earns more elsewhere.

--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -109,7 +109,7 @@
 	j.build()
 	j.restore(msg.Progress)
 	m.jobs[id] = j
-	m.rate(j)
+	m.rate(now, j)
 	m.claimStrays(now, j)
 	m.advance(now, j)
 	m.decide(JobTaken, j.gangs[0], nil, j.spec.Queue)
--- a/internal/core/plan/learn.go
+++ b/internal/core/plan/learn.go
@@ -57,7 +57,7 @@
 }
 
 // ended takes in that a gang that started here is done.
-func (l *learner) ended(now time.Time, g *gang, w *worker) {
+func (l *learner) ended(now time.Time, g *gang) {
 	estimate := g.estimate()
 	if g.together.IsZero() || estimate <= 0 || g.resumed || g.away {
 		return
@@ -70,14 +70,8 @@
 	}
 	t.taken.add(taken)
 	t.ratio.add(ratio)
-	if g.size == 1 {
-		w.pace += paceWeight * (taken/t.expect(estimate) - w.pace)
-	}
 }
 
-// paceWeight is the weight of one task in what is known of a worker's speed.
-const paceWeight = 0.15
-
 // trustedAfter is how many ends it takes until what was learned is used alone.
 const trustedAfter = 8
 
@@ -113,14 +107,14 @@
 // on by a percent in far less.
 const stallAfter = 1200 * time.Millisecond
 
-// wholeWork is the percent of a run that has done its part.
-const wholeWork = 100
-
 // checkProgress ends an attempt that stands still.
 func (m *Model) checkProgress(now time.Time, g *gang) {
 	if !g.whole() || g.spec().Perpetual {
 		return
 	}
+	if m.leaveDraining(now, g) || m.moveSlow(now, g) {
+		return
+	}
 	patience := stallAfter
 	if g.resumed {
 		patience += m.timing.Restore
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -13,11 +13,16 @@
 const passInterval = 200 * time.Millisecond
 
 // rate works out the size of a new job.
-func (m *Model) rate(j *job) {
+func (m *Model) rate(now time.Time, j *job) {
 	for _, s := range j.spec.Steps {
 		j.coreSecs += float64(s.Tasks) * cores(s.Need) * float64(s.EstimateMillis) / 1000
 	}
 	m.learn.submitted(j)
+	if j.queue.Priority == 0 && !j.adopted {
+		for _, s := range j.spec.Steps {
+			m.urgent.add(now, s.Tasks*s.Need.Accelerators)
+		}
+	}
 }
 
 // standing orders gangs by what they can still earn.
@@ -55,14 +60,8 @@
 // compareRanked puts urgent work first, within a priority what still earns
 // most, then what has to start soonest.
 func compareRanked(a, b ranked) int {
-	last := func(r ranked) int {
-		if r.standing == earnsNothing {
-			return 1
-		}
-		return 0
-	}
 	return cmp.Or(
-		cmp.Compare(last(a), last(b)),
+		last(a.standing == earnsNothing, b.standing == earnsNothing),
 		cmp.Compare(a.priority, b.priority),
 		cmp.Compare(a.standing, b.standing),
 		a.startBy.Compare(b.startBy),
@@ -72,6 +71,18 @@
 	)
 }
 
+// last orders what is true behind what is not.
+func last(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // demand is what the outcome of a try depends on within one pass.
 type demand struct {
 	target   string
@@ -115,7 +126,7 @@
 	if _, done := failed[d]; done && s.SpreadLimit == 0 && len(g.failedOn) == 0 {
 		return
 	}
-	if places := m.find(now, g, nil); places != nil {
+	if places := m.find(now, g, nil); places != nil && m.leavesHeadroom(now, r, places) {
 		m.dequeue(g)
 		m.place(now, g, places)
 		return
@@ -274,6 +285,7 @@
 		worker *worker
 		slots  int
 		left   record.Amount
+		slow   bool
 	}
 	var candidates []candidate
 	total := 0
@@ -282,7 +294,7 @@
 		if n == 0 {
 			continue
 		}
-		candidates = append(candidates, candidate{w, n, rm.at(w)})
+		candidates = append(candidates, candidate{w, n, rm.at(w), w.slow(now)})
 		total += n
 	}
 	if total < g.size {
@@ -290,6 +302,7 @@
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
+			last(a.slow, b.slow),
 			cmp.Compare(a.left.Accelerators, b.left.Accelerators),
 			cmp.Compare(a.left.MilliCores, b.left.MilliCores),
 		)
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -72,7 +72,7 @@
 		ProgressDelay:   300 * time.Millisecond,
 		Bench:           4 * time.Second,
 		KeepEnded:       150 * time.Second,
-		RenewInterval:   500 * time.Millisecond,
+		RenewInterval:   250 * time.Millisecond,
 		WaitingInterval: 700 * time.Millisecond,
 		SpreadFactor:    3,
 		CheckpointEvery: 2 * time.Second,
@@ -108,7 +108,9 @@
 
 	write writeState
 	learn learner
-	cmds  []Cmd
+	// urgent is the rate at which urgent work arrives.
+	urgent arrivals
+	cmds   []Cmd
 }
 
 // New returns a planner that leads under the epoch and knows nothing yet.
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -45,6 +45,11 @@
 
 	percent   int
 	percentAt time.Time
+	// pace is the newest measurement against what was expected, made since
+	// paceFrom, when the percent was pacePercent.
+	pace        float64
+	paceFrom    time.Time
+	pacePercent int
 }
 
 // place gives a gang its runs and sends their starts.
@@ -279,6 +284,7 @@
 		r.percent = report.Percent
 		r.percentAt = now
 	}
+	m.measurePace(now, r)
 	if r.phase == sending {
 		m.confirm(now, r)
 	}
@@ -418,7 +424,7 @@
 	case EndDone:
 		w.failures = 0
 		w.benches = 0
-		m.learn.ended(now, g, w)
+		m.learn.ended(now, g)
 		m.gangDone(now, g)
 	case EndFailed:
 		m.runFailed(now, g, w, end.Attempt)
--- a/internal/core/plan/value.go
+++ b/internal/core/plan/value.go
@@ -72,21 +72,27 @@
 	}
 }
 
+// thrown returns what the work that stopping the gang throws away costs.
+func (m *Model) thrown(now time.Time, g *gang) float64 {
+	spent := now.Sub(g.startedAt)
+	if g.spec().SavesProgress {
+		spent = min(spent, m.timing.CheckpointEvery/2) + m.timing.Restore
+	}
+	return float64(g.size) * cores(g.need()) * spent.Seconds() * lossPrice
+}
+
 // lossOf returns what stopping the gang costs: the work thrown away, and what
 // its job earns less if it has to start again.
 func (m *Model) lossOf(now time.Time, g *gang) float64 {
-	spent := now.Sub(g.startedAt)
-	left := m.expected(g) - spent
+	work := m.expected(g)
+	left := max(0, work-now.Sub(g.startedAt))
+	again := work
 	if g.spec().SavesProgress {
-		spent = min(spent, m.timing.CheckpointEvery/2) + m.timing.Restore
-		left += spent
-	} else {
-		left = m.expected(g)
+		again = left + m.timing.Restore
 	}
-	thrown := float64(g.size) * cores(g.need()) * spent.Seconds() * lossPrice
-	goesOn := now.Add(max(0, m.expected(g)-now.Sub(g.startedAt)))
-	again := now.Add(left + m.timing.TaskStop + restartWait)
-	return thrown + m.earns(g.job, goesOn) - m.earns(g.job, again)
+	goesOn := now.Add(left)
+	restarted := now.Add(again + m.timing.TaskStop + restartWait)
+	return m.thrown(now, g) + m.earns(g.job, goesOn) - m.earns(g.job, restarted)
 }
 
 // restartWait is how long a gang that lost its places is thought to wait.
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -49,6 +49,8 @@
 	seen, durable, acked int64
 
 	runs map[TaskID]*run
+	// leavesAt is the earliest time at which a draining worker ends.
+	leavesAt time.Time
 	// free is what runs and reservations leave.
 	free     record.Amount
 	reserved record.Amount
@@ -58,8 +60,10 @@
 	lastFail  string
 	benches   int
 	benchedTo time.Time
-	// pace is how many times longer than estimated tasks take here.
-	pace float64
+	// pace is how fast tasks come on here against what was expected, measured
+	// last at pacedAt.
+	pace    float64
+	pacedAt time.Time
 }
 
 // rack is the workers of one rack of one pool.
@@ -135,8 +139,11 @@
 	if known && !entry.Born.IsZero() && entry.Born.Before(w.Born) {
 		return
 	}
-	born := w.Born
+	born, draining := w.Born, w.Draining
 	w.Worker = entry
+	if entry.Draining && !draining {
+		w.leavesAt = now.Add(entry.Remaining)
+	}
 	if entry.Born.IsZero() {
 		w.Born = born
 	}
--- a/internal/edge/fleet/lead.go
+++ b/internal/edge/fleet/lead.go
@@ -15,10 +15,14 @@
 
 const (
 	// leaderPoll lies between two looks at the leader's row.
-	leaderPoll = 400 * time.Millisecond
+	leaderPoll = 200 * time.Millisecond
 	// leaderSilence is how long the row must stay as it is before another
-	// host takes over. Safety does not rest on it.
-	leaderSilence = 1800 * time.Millisecond
+	// host takes over, if the store answers at once. Safety does not rest on
+	// it: a leader that was taken over too early is fenced like any other.
+	leaderSilence = 750 * time.Millisecond
+	// silenceRounds is how many round trips to the store come on top, since a
+	// slow store delays the leader's renewals as well.
+	silenceRounds = 6
 	// leaderCall bounds one call about the leader's row.
 	leaderCall = 1200 * time.Millisecond
 	// handOverTimeout bounds the last write of a leader that stops.
@@ -31,6 +35,7 @@
 	var seen store.Row
 	var silentFrom time.Time
 	for ctx.Err() == nil {
+		sentAt := h.clock()
 		row, err := h.leaderRow(ctx)
 		now := h.clock()
 		if err == nil {
@@ -38,7 +43,8 @@
 				seen, silentFrom = row, now
 			}
 			leader := decodeLeader(row)
-			if leader.Host == "" || now.Sub(silentFrom) > leaderSilence {
+			patience := leaderSilence + silenceRounds*now.Sub(sentAt)
+			if h.vacant(leader) || now.Sub(silentFrom) > patience {
 				if epoch, lane, ok := h.takeOver(ctx, row, leader); ok {
 					h.plan(ctx, epoch, lane)
 				}
@@ -50,6 +56,13 @@
 	}
 }
 
+// vacant reports whether the row's holder certainly plans no more: it has
+// handed the lead over, or was an earlier process of this very host.
+func (h *Host) vacant(leader record.Leader) bool {
+	earlier := leader.Host == h.settings.Host.ID && leader.Incarnation != h.incarnation
+	return leader.Host == "" || earlier
+}
+
 func (h *Host) leaderRow(ctx context.Context) (store.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, leaderCall)
 	defer cancel()
