Placements are stored before their starts are sent

Ruled out: late orders (both starts were first tries), worker lists (the second worker had not yet been looked at). Change: a gang's places are stored under the leader's row before any start, so a leader that was taken over starts nothing more, and its successor knows which worker to ask for each run and waits for no other. Test: 'is started by one of two leaders only', red on the commit before; the fault test has two leaders at once now (1,500 checks green).

--- a/internal/core/plan/fault_test.go
+++ b/internal/core/plan/fault_test.go
@@ -52,7 +52,7 @@
 // act lets one random thing happen.
 func act(t *rapid.T, w *world, number *int) {
 	f := w.workers[fmt.Sprintf("worker-%02d", rapid.IntRange(0, 11).Draw(t, "worker"))]
-	switch rapid.IntRange(0, 10).Draw(t, "what") {
+	switch rapid.IntRange(0, 11).Draw(t, "what") {
 	case 0, 1, 2, 3:
 		*number++
 		w.submit(randomJob(t, *number))
@@ -74,6 +74,8 @@
 		w.note("%s hangs", f.entry.ID)
 	case 10:
 		w.leave(f)
+	case 11:
+		w.leadToo()
 	}
 }
 
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -18,7 +18,7 @@
 	waiting
 	// reserved gangs have places where others are being stopped.
 	reserved
-	// placed gangs have runs.
+	// placed gangs have runs, some of which may not have been sent yet.
 	placed
 	// stopping gangs have runs that are being ended; they wait again after.
 	stopping
@@ -47,11 +47,9 @@
 	// failedOn names the workers on which an attempt has failed.
 	failedOn map[string]bool
 
-	runs     []*run
-	places   []*worker
-	deadline time.Time
-	// notBefore is the earliest next start.
-	notBefore time.Time
+	runs      []*run
+	places    []*worker
+	deadline  time.Time
 	dueAt     time.Time
 	readyAt   time.Time
 	startedAt time.Time
@@ -103,14 +101,12 @@
 		state:   record.Queued,
 		open:    map[stepKey]int{},
 		attempt: msg.Progress.Attempt,
-		adopted: msg.Adopted,
 	}
 	j.queue, _ = m.config.Queue(msg.Job.Queue)
 	j.build()
-	j.restore(msg.Progress)
 	m.jobs[id] = j
 	m.rate(now, j)
-	m.claimStrays(now, j)
+	m.restore(now, j, msg.Progress)
 	m.advance(now, j)
 	m.decide(JobTaken, j.gangs[0], nil, j.spec.Queue)
 	m.write.waitingChanged = true
@@ -136,8 +132,13 @@
 	}
 }
 
-// restore applies what an earlier leader recorded.
-func (j *job) restore(p record.Progress) {
+// restore applies what an earlier leader recorded. Its runs are confirmed or
+// dropped when their workers answer.
+func (m *Model) restore(now time.Time, j *job, p record.Progress) {
+	j.started = p.State == record.Running
+	for _, g := range j.gangs {
+		g.attempt = j.attempt
+	}
 	for _, gp := range p.Gangs {
 		g := j.gang(gp.Occurrence, gp.Step, gp.First)
 		if g == nil {
@@ -148,14 +149,34 @@
 		if gp.Done {
 			g.phase = done
 			j.open[stepKey{g.occurrence, g.step}]--
+			continue
 		}
+		m.recover(now, g, gp)
 	}
-	for _, g := range j.gangs {
-		g.attempt = j.attempt
-		if j.adopted {
-			// An attempt may have been used without having been recorded.
-			g.attempt++
+}
+
+// recover takes over the runs that an earlier leader recorded for a gang.
+func (m *Model) recover(now time.Time, g *gang, gp record.GangProgress) {
+	for _, place := range gp.Places {
+		w, known := m.workers[place.Worker]
+		if !known {
+			// A worker is left out of the roster only when nothing runs there.
+			continue
 		}
+		m.hold(&run{
+			task:    TaskID{Job: g.job.spec.ID, Occurrence: g.occurrence, Step: g.step, Index: place.Index},
+			attempt: gp.Attempt, gang: g, worker: w, need: g.need(), phase: recovering, sentAt: now,
+		})
+	}
+	if len(g.runs) == 0 {
+		return
+	}
+	g.phase = placed
+	g.attempt = gp.Attempt
+	g.startedAt = now
+	g.deadline = later(now.Add(m.timing.GangWait), m.inheritedLease(now))
+	if len(g.runs) < g.size {
+		m.breakUp(now, g, "not all of its workers are known")
 	}
 }
 
@@ -241,7 +262,7 @@
 	delete(m.jobs, j.spec.ID)
 	m.write.waitingChanged = true
 	m.write.ended[j.spec.ID] = now
-	m.record(now, j, true)
+	m.record(now, j, atOnce)
 	m.decide(JobEnded, j.gangs[0], nil, string(state)+" "+reason)
 }
 
@@ -252,10 +273,12 @@
 		return p
 	}
 	for _, g := range j.gangs {
-		if g.phase != done && len(g.failed) == 0 && g.checkpoint == "" {
+		if g.phase != done && len(g.failed) == 0 && g.checkpoint == "" && len(g.runs) == 0 {
 			continue
 		}
 		p.Gangs = append(p.Gangs, record.GangProgress{
+			Attempt:        g.attempt,
+			Places:         g.recordedPlaces(),
 			Occurrence:     g.occurrence,
 			Step:           g.step,
 			First:          g.first,
@@ -267,6 +290,18 @@
 	return p
 }
 
+// recordedPlaces returns where the gang's attempt is or may be.
+func (g *gang) recordedPlaces() []record.Place {
+	if g.phase == done {
+		return nil
+	}
+	places := make([]record.Place, 0, len(g.runs))
+	for _, r := range g.runs {
+		places = append(places, record.Place{Index: r.task.Index, Worker: r.worker.ID})
+	}
+	return places
+}
+
 func (g *gang) spec() *record.Step {
 	return &g.job.spec.Steps[g.step]
 }
--- a/internal/core/plan/msg.go
+++ b/internal/core/plan/msg.go
@@ -18,8 +18,6 @@
 type JobMsg struct {
 	Job      record.Job
 	Progress record.Progress
-	// Adopted jobs were there before this leader, so runs of them may exist.
-	Adopted bool
 }
 
 // CancelMsg brings a recorded cancellation.
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -18,7 +18,7 @@
 		j.coreSecs += float64(s.Tasks) * cores(s.Need) * float64(s.EstimateMillis) / 1000
 	}
 	m.learn.submitted(j)
-	if j.queue.Priority == 0 && !j.adopted {
+	if j.queue.Priority == 0 && j.attempt == 0 {
 		for _, s := range j.spec.Steps {
 			m.urgent.add(now, s.Tasks*s.Need.Accelerators)
 		}
@@ -101,12 +101,8 @@
 	}
 	m.changed = false
 	m.nextPass = now.Add(passInterval)
-	settled := m.settled(now)
 	order := make([]ranked, 0, len(m.queue))
 	for _, g := range m.queue {
-		if now.Before(g.notBefore) || g.job.adopted && !settled {
-			continue
-		}
 		order = append(order, m.rank(now, g))
 	}
 	slices.SortFunc(order, compareRanked)
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -177,7 +177,7 @@
 // Next returns when the planner wants its tick.
 func (m *Model) Next() (time.Time, bool) {
 	next := m.write.nextRenewal
-	if m.active.Len() > 0 || len(m.queue) > 0 || !m.settled(m.now) {
+	if m.active.Len() > 0 || len(m.queue) > 0 {
 		next = earlier(next, m.now.Add(tickInterval))
 	}
 	return next, true
--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -119,4 +119,26 @@
 		Expect(w.state(j.ID)).To(Equal(record.Failed))
 		Expect(w.starts[plan.TaskID{Job: j.ID}]).To(Equal(3))
 	})
+
+	// A leader that was taken over goes on until it hears of it, and reads the
+	// same new jobs as its successor.
+	It("is started by one of two leaders only", func() {
+		w := newWorld(1, 12)
+		w.run(100 * time.Millisecond)
+		// The successor hears some workers before it hears of those on which
+		// the earlier leader starts the job.
+		for id, f := range w.workers {
+			if id < "worker-06" {
+				f.slowLook = 300 * time.Millisecond
+			}
+		}
+		w.leadToo()
+		w.run(10 * time.Millisecond)
+		j := job(1, "urgent", gangStep(3, 4))
+		w.submit(j)
+		w.run(5 * time.Second)
+		Expect(w.problems).To(BeEmpty())
+		Expect(w.state(j.ID)).To(Equal(record.Completed))
+		Expect(w.starts[plan.TaskID{Job: j.ID}]).To(Equal(1))
+	})
 })
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -12,8 +12,13 @@
 type runPhase int
 
 const (
+	// recording runs are being stored; nothing was sent yet.
+	recording runPhase = iota
 	// sending runs have been ordered and not confirmed.
-	sending runPhase = iota
+	sending
+	// recovering runs were recorded by an earlier leader; their worker has not
+	// said yet whether it has them.
+	recovering
 	// working runs were confirmed by their worker.
 	working
 	// ending runs have been told to stop.
@@ -52,7 +57,8 @@
 	pacePercent int
 }
 
-// place gives a gang its runs and sends their starts.
+// place gives a gang its runs and has them stored. They are started once they
+// are, so that a successor knows where to look for them.
 func (m *Model) place(now time.Time, g *gang, places []*worker) {
 	g.phase = placed
 	g.attempt++
@@ -61,26 +67,39 @@
 	g.together = time.Time{}
 	g.resumed = g.checkpoint != ""
 	g.away = isAway(g, places)
-	g.deadline = now.Add(m.timing.GangWait)
+	g.deadline = time.Time{}
 	g.places = nil
 	m.active.Add(g)
 	if !g.job.started {
 		g.job.started = true
 		g.job.state = record.Running
 		m.write.waitingChanged = true
-		m.record(now, g.job, false)
 	}
 	for i, w := range places {
-		r := &run{
+		m.hold(&run{
 			task:    TaskID{Job: g.job.spec.ID, Occurrence: g.occurrence, Step: g.step, Index: g.first + i},
 			attempt: g.attempt, gang: g, worker: w, need: g.need(), sentAt: now,
-		}
-		m.hold(r)
-		m.sendStart(now, r)
+		})
 	}
+	m.record(now, g.job, atOnce)
 	m.decide(Placed, g, places[0], placeText(places))
 }
 
+// start sends the starts of a gang whose places are stored.
+func (m *Model) start(now time.Time, g *gang) {
+	if g.phase != placed {
+		return
+	}
+	for _, r := range g.runs {
+		if r.phase == recording {
+			r.phase = sending
+			r.sentAt = now
+			m.sendStart(now, r)
+		}
+	}
+	g.deadline = now.Add(m.timing.GangWait)
+}
+
 // isAway reports whether places are away from the gang's data or spread over
 // racks though it should lie in one.
 func isAway(g *gang, places []*worker) bool {
@@ -210,9 +229,13 @@
 
 // confirm takes in that the worker has the run.
 func (m *Model) confirm(now time.Time, r *run) {
-	if r.phase != sending {
+	if r.phase != sending && r.phase != recovering {
 		return
 	}
+	kind := Running
+	if r.phase == recovering {
+		kind = Adopted
+	}
 	r.phase = working
 	r.confirmedAt = now
 	r.percentAt = now
@@ -220,7 +243,7 @@
 	g := r.gang
 	if g.whole() && g.together.IsZero() {
 		g.together = now
-		m.decide(Running, g, r.worker, "")
+		m.decide(kind, g, r.worker, "")
 	}
 }
 
@@ -271,7 +294,7 @@
 func (m *Model) runListed(now time.Time, w *worker, report RunReport) {
 	r := w.runs[report.Task]
 	if r == nil {
-		m.adopt(now, w, report)
+		m.stray(now, w, report)
 		return
 	}
 	if r.attempt != report.Attempt {
@@ -285,99 +308,23 @@
 		r.percentAt = now
 	}
 	m.measurePace(now, r)
-	if r.phase == sending {
-		m.confirm(now, r)
-	}
-	if r.gang == nil && now.Sub(r.confirmedAt) > strayPatience {
-		m.stopRun(now, r)
-	}
+	m.confirm(now, r)
 }
 
-// strayPatience is how long a run whose job is not known here may go on, since
-// the job's row may arrive after the run is seen.
-const strayPatience = 1500 * time.Millisecond
-
-// adopt takes over a run that an earlier leader started.
-func (m *Model) adopt(now time.Time, w *worker, report RunReport) {
-	r := &run{
-		task: report.Task, attempt: report.Attempt, worker: w, phase: working,
-		sentAt: now, confirmedAt: now, percent: report.Percent, percentAt: now,
-	}
-	if j, ok := m.jobs[report.Task.Job]; ok {
-		m.attach(now, r, j.gang(report.Task.Occurrence, report.Task.Step, report.Task.Index), report.Checkpoint)
-		return
-	}
-	m.hold(r)
-	if _, over := m.write.ended[report.Task.Job]; over {
-		m.stopRun(now, r)
-	}
-}
-
-// attach binds a run that was found at a worker to its gang.
-func (m *Model) attach(now time.Time, r *run, g *gang, checkpoint string) {
-	if g == nil {
-		m.hold(r)
-		m.stopRun(now, r)
-		return
-	}
-	r.gang = g
-	r.need = g.need()
+// stray stops a run that belongs to no gang: every start is stored before it is
+// sent, so it is left over from a job that has ended.
+func (m *Model) stray(now time.Time, w *worker, report RunReport) {
+	r := &run{task: report.Task, attempt: report.Attempt, worker: w, phase: working, sentAt: now, confirmedAt: now}
 	m.hold(r)
-	current := g.phase == waiting || g.phase == blocked || g.phase == placed && g.attempt == r.attempt && !g.startedHere()
-	if !current || len(g.runs) > 1 && g.runs[0].attempt != r.attempt {
-		g.attempt = max(g.attempt, r.attempt)
-		m.breakUp(now, g, "attempts do not agree")
-		m.stopRun(now, r)
-		return
-	}
-	if g.phase == waiting {
-		m.dequeue(g)
-	}
-	g.phase = placed
-	g.attempt = r.attempt
-	g.job.attempt = max(g.job.attempt, r.attempt)
-	g.job.started = true
-	g.job.state = record.Running
-	if checkpoint != "" {
-		g.checkpoint = checkpoint
-	}
-	if g.startedAt.IsZero() {
-		g.startedAt = now
-	}
-	g.deadline = later(now.Add(m.timing.GangWait), m.inheritedLease(now))
-	if g.whole() {
-		g.together = now
-		m.decide(Adopted, g, r.worker, strconv.Itoa(g.size))
-	}
-}
-
-// startedHere reports whether this leader started the gang's attempt.
-func (g *gang) startedHere() bool {
-	for _, r := range g.runs {
-		if r.sentAt != r.confirmedAt {
-			return true
-		}
-	}
-	return false
-}
-
-// claimStrays binds runs that were seen before their job's row.
-func (m *Model) claimStrays(now time.Time, j *job) {
-	for _, w := range m.order {
-		for _, r := range w.sorted() {
-			if r.gang != nil || r.task.Job != j.spec.ID {
-				continue
-			}
-			delete(w.runs, r.task)
-			m.attach(now, r, j.gang(r.task.Occurrence, r.task.Step, r.task.Index), "")
-		}
-	}
+	m.stopRun(now, r)
 }
 
 // runMissing takes in that the worker does not have a run that it should.
 func (m *Model) runMissing(now time.Time, r *run, lookedAt time.Time) {
 	switch r.phase {
-	case sending:
+	case recording, sending:
+	case recovering:
+		m.dropRun(now, r, "its worker does not have it")
 	case working:
 		if r.confirmedAt.Before(lookedAt) {
 			m.dropRun(now, r, "its worker no longer has it")
@@ -418,7 +365,7 @@
 	}
 	if end.Checkpoint != "" && end.Attempt >= g.attempt {
 		g.checkpoint = end.Checkpoint
-		m.record(now, g.job, false)
+		m.record(now, g.job, soon)
 	}
 	switch end.Kind {
 	case EndDone:
@@ -474,7 +421,7 @@
 	m.stopRuns(now, g, func(r *run) bool { return r.attempt != g.attempt })
 	m.afterRelease(now, g)
 	g.job.open[stepKey{g.occurrence, g.step}]--
-	m.record(now, g.job, false)
+	m.record(now, g.job, soon)
 	m.decide(Ended, g, nil, "done")
 	m.advance(now, g.job)
 }
@@ -502,7 +449,7 @@
 		m.endJob(now, g.job, record.Failed, strconv.Itoa(len(g.failed))+" attempts failed")
 		return false
 	}
-	m.record(now, g.job, false)
+	m.record(now, g.job, soon)
 	return true
 }
 
@@ -559,7 +506,7 @@
 
 // stopRuns tells all runs of the gang to stop, or those that which names.
 func (m *Model) stopRuns(now time.Time, g *gang, which func(*run) bool) {
-	for _, r := range g.runs {
+	for _, r := range slices.Clone(g.runs) {
 		if which == nil || which(r) {
 			m.stopRun(now, r)
 		}
@@ -567,6 +514,10 @@
 }
 
 func (m *Model) stopRun(now time.Time, r *run) {
+	if r.phase == recording {
+		m.release(r)
+		return
+	}
 	if r.phase == ending && (r.calling || now.Before(r.nextTry)) {
 		return
 	}
@@ -622,7 +573,7 @@
 		m.expireReserved(now, g)
 	case placed:
 		m.retryStarts(now, g)
-		if !g.whole() && now.After(g.deadline) {
+		if !g.whole() && !g.deadline.IsZero() && now.After(g.deadline) {
 			m.suspectSilent(now, g)
 			m.breakUp(now, g, "not all members started in time")
 			return
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -280,19 +280,6 @@
 	}
 }
 
-// settled reports whether the runs that earlier leaders started are known.
-func (m *Model) settled(now time.Time) bool {
-	if !m.loaded {
-		return false
-	}
-	for _, w := range m.order {
-		if !w.heard && now.Before(w.inheritedUntil) {
-			return false
-		}
-	}
-	return true
-}
-
 // lookAtWorkers sends each worker whose turn it is a look.
 func (m *Model) lookAtWorkers(now time.Time) {
 	if !m.loaded {
--- a/internal/core/plan/world_test.go
+++ b/internal/core/plan/world_test.go
@@ -28,14 +28,15 @@
 // world runs a planner against fake workers and a fake store on a virtual
 // clock, and judges what the workers see.
 type world struct {
-	now     time.Time
-	random  *rand.Rand
-	events  eventQueue
-	serial  int
-	epoch   int64
-	model   *plan.Model
-	workers map[string]*fakeWorker
-	config  rules.Config
+	now    time.Time
+	random *rand.Rand
+	events eventQueue
+	serial int
+	epoch  int64
+	// planners holds every planner that believes that it leads.
+	planners []*planner
+	workers  map[string]*fakeWorker
+	config   rules.Config
 
 	jobs      map[string]record.Job
 	progress  map[string]record.Progress
@@ -63,7 +64,13 @@
 	endedAt     map[string]time.Time
 	decisions   []string
 	problems    []string
-	deposed     bool
+}
+
+// planner is one leader. Only the newest epoch can store anything.
+type planner struct {
+	epoch int64
+	model *plan.Model
+	over  bool
 }
 
 type fakeWorker struct {
@@ -81,7 +88,9 @@
 	cut   bool
 	dead  bool
 	hangs bool
-	looks []func()
+	// slowLook delays looks on their way.
+	slowLook time.Duration
+	looks    []func()
 }
 
 type fakeRun struct {
@@ -171,24 +180,33 @@
 	return f
 }
 
-// lead makes a new planner that reads what is stored.
+// lead makes a new planner that reads what is stored, and ends the others.
 func (w *world) lead() {
+	for _, p := range w.planners {
+		p.over = true
+	}
+	w.planners = nil
+	w.leadToo()
+}
+
+// leadToo makes a new planner while the others do not know of it yet.
+func (w *world) leadToo() {
 	w.epoch++
-	w.deposed = false
-	w.model = plan.New(w.now, w.epoch, plan.DefaultTiming())
-	w.send(plan.ConfigMsg{Config: w.config})
-	w.send(plan.WorkersMsg{Changed: w.entries(), Whole: true})
+	p := &planner{epoch: w.epoch, model: plan.New(w.now, w.epoch, plan.DefaultTiming())}
+	w.planners = append(w.planners, p)
+	w.sendTo(p, plan.ConfigMsg{Config: w.config})
+	w.sendTo(p, plan.WorkersMsg{Changed: w.entries(), Whole: true})
 	if w.roster != nil {
-		w.send(plan.RosterMsg{Workers: w.roster.Workers})
+		w.sendTo(p, plan.RosterMsg{Workers: w.roster.Workers})
 	}
 	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
-		w.send(plan.JobMsg{Job: w.jobs[id], Progress: w.progress[id], Adopted: true})
+		w.sendTo(p, plan.JobMsg{Job: w.jobs[id], Progress: w.progress[id]})
 		if w.cancelled[id] {
-			w.send(plan.CancelMsg{ID: id})
+			w.sendTo(p, plan.CancelMsg{ID: id})
 		}
 	}
-	w.send(plan.LoadedMsg{})
-	w.tick(w.epoch)
+	w.sendTo(p, plan.LoadedMsg{})
+	w.tick(p)
 }
 
 func (w *world) entries() []plan.Worker {
@@ -201,12 +219,12 @@
 	return entries
 }
 
-func (w *world) tick(epoch int64) {
-	if epoch != w.epoch {
+func (w *world) tick(p *planner) {
+	if p.over {
 		return
 	}
-	w.send(plan.TickMsg{})
-	w.after(50*time.Millisecond, func() { w.tick(epoch) })
+	w.sendTo(p, plan.TickMsg{})
+	w.after(50*time.Millisecond, func() { w.tick(p) })
 }
 
 func (w *world) after(delay time.Duration, do func()) {
@@ -237,18 +255,20 @@
 	w.send(plan.CancelMsg{ID: id})
 }
 
+// send hands a message to every planner.
 func (w *world) send(msg plan.Msg) {
-	if w.deposed {
-		return
+	for _, p := range slices.Clone(w.planners) {
+		w.sendTo(p, msg)
 	}
-	model, cmds := w.model.Update(w.now, msg)
-	w.model = model
-	epoch := w.epoch
-	reply := func(msg plan.Msg) {
-		if epoch == w.epoch {
-			w.send(msg)
-		}
+}
+
+func (w *world) sendTo(p *planner, msg plan.Msg) {
+	if p.over {
+		return
 	}
+	model, cmds := p.model.Update(w.now, msg)
+	p.model = model
+	reply := func(msg plan.Msg) { w.sendTo(p, msg) }
 	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
 		case plan.StartCmd:
@@ -262,9 +282,9 @@
 		case plan.LookCmd:
 			w.look(cmd, reply)
 		case plan.WriteCmd:
-			w.write(cmd, epoch, reply)
+			w.write(cmd, p, reply)
 		case plan.DeposedCmd:
-			w.deposed = true
+			p.over = true
 		case plan.DecisionCmd:
 			w.note("decision %d job %s step %d first %d attempt %d worker %s: %s",
 				cmd.Kind, cmd.Job, cmd.Step, cmd.First, cmd.Attempt, cmd.Worker, cmd.Detail)
@@ -541,7 +561,7 @@
 	if f.cut || f.dead {
 		return
 	}
-	w.after(orderDelay, func() {
+	w.after(orderDelay+f.slowLook, func() {
 		if f.dead || w.random.Float64() < w.loseAnswer {
 			return
 		}
@@ -637,17 +657,18 @@
 	return runs
 }
 
-func (w *world) write(cmd plan.WriteCmd, epoch int64, reply func(plan.Msg)) {
+func (w *world) write(cmd plan.WriteCmd, by *planner, reply func(plan.Msg)) {
 	if w.storeDown {
 		w.after(100*time.Millisecond, func() {
-			if epoch == w.epoch {
-				w.write(cmd, epoch, reply)
+			if !by.over {
+				w.write(cmd, by, reply)
 			}
 		})
 		return
 	}
 	w.after(writeDelay, func() {
-		if epoch != w.epoch {
+		if by.epoch != w.epoch {
+			by.over = true
 			return
 		}
 		for _, p := range cmd.Progress {
--- a/internal/core/plan/write.go
+++ b/internal/core/plan/write.go
@@ -34,6 +34,11 @@
 	// forgotten names ended jobs whose rows were told to go, and when.
 	forgotten map[string]time.Time
 
+	// recorded holds the jobs whose progress the outstanding batch stores, and
+	// toStart their gangs that may start then.
+	recorded []*job
+	toStart  []storedAttempt
+
 	ackChanged     bool
 	acks           map[string]int64
 	rosterChanged  bool
@@ -42,6 +47,12 @@
 	nextWaiting    time.Time
 }
 
+// storedAttempt is an attempt whose places are being stored.
+type storedAttempt struct {
+	gang    *gang
+	attempt int
+}
+
 func newWriteState() writeState {
 	return writeState{
 		dirty:      map[string]*job{},
@@ -51,18 +62,33 @@
 	}
 }
 
+// urgency says how soon progress has to be stored.
+type urgency int
+
+const (
+	// soon lets other changes join.
+	soon urgency = iota
+	// atOnce stores with the next transaction.
+	atOnce
+)
+
 // record marks a job's progress as changed.
-func (m *Model) record(now time.Time, j *job, ended bool) {
-	if ended {
-		delete(m.write.dirty, j.spec.ID)
-		m.write.endedDirty[j.spec.ID] = j.progress(now)
-		m.write.dueAt = now
-		return
+func (m *Model) record(now time.Time, j *job, u urgency) {
+	s := &m.write
+	due := now
+	if u == soon {
+		due = now.Add(m.timing.ProgressDelay)
 	}
-	if len(m.write.dirty) == 0 && len(m.write.endedDirty) == 0 {
-		m.write.dueAt = now.Add(m.timing.ProgressDelay)
+	if len(s.dirty) == 0 && len(s.endedDirty) == 0 {
+		s.dueAt = due
 	}
-	m.write.dirty[j.spec.ID] = j
+	s.dueAt = earlier(s.dueAt, due)
+	if _, ended := s.ended[j.spec.ID]; ended {
+		delete(s.dirty, j.spec.ID)
+		s.endedDirty[j.spec.ID] = j.progress(now)
+		return
+	}
+	s.dirty[j.spec.ID] = j
 }
 
 // keepEnded remembers a job that ended under an earlier leader until its rows
@@ -87,6 +113,7 @@
 	s.batch++
 	s.nextRenewal = now.Add(m.timing.RenewInterval)
 	cmd := WriteCmd{Batch: s.batch, Progress: m.takeDirty()}
+	m.takeStarts()
 	cmd.Forgotten = m.takeForgotten(now, maxRows-len(cmd.Progress))
 	m.takeAcks()
 	if s.rosterChanged {
@@ -115,12 +142,28 @@
 		if len(rows) == maxRows {
 			return rows
 		}
-		rows = append(rows, s.dirty[id].progress(time.Time{}))
+		j := s.dirty[id]
+		rows = append(rows, j.progress(time.Time{}))
+		s.recorded = append(s.recorded, j)
 		delete(s.dirty, id)
 	}
 	return rows
 }
 
+// takeStarts notes which gangs may start once the batch is stored.
+func (m *Model) takeStarts() {
+	s := &m.write
+	s.toStart = s.toStart[:0]
+	for _, j := range s.recorded {
+		for _, g := range j.gangs {
+			if g.phase == placed && len(g.runs) > 0 && g.runs[0].phase == recording {
+				s.toStart = append(s.toStart, storedAttempt{g, g.attempt})
+			}
+		}
+	}
+	s.recorded = s.recorded[:0]
+}
+
 // takeAcks notes which ends will be stored with the batch. Ends are only
 // acknowledged together with all progress that they led to.
 func (m *Model) takeAcks() {
@@ -225,4 +268,10 @@
 		}
 	}
 	s.acks, s.rosterSent = nil, nil
+	for _, a := range s.toStart {
+		if a.gang.attempt == a.attempt {
+			m.start(now, a.gang)
+		}
+	}
+	s.toStart = s.toStart[:0]
 }
--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -125,7 +125,7 @@
 	s.runner.Send(workers)
 	s.sendRoster(roster)
 	for _, r := range jobs.Rows {
-		s.sendJob(r, progress, true)
+		s.sendJob(r, progress)
 	}
 	for _, r := range jobs.Rows {
 		if id, ok := cancelled(r.Key.Name); ok {
@@ -167,7 +167,7 @@
 	s.runner.Send(plan.RosterMsg{Workers: roster.Workers})
 }
 
-func (s *session) sendJob(row store.Row, progress map[string]record.Progress, adopted bool) {
+func (s *session) sendJob(row store.Row, progress map[string]record.Progress) {
 	if _, ok := cancelled(row.Key.Name); ok || row.Deleted {
 		return
 	}
@@ -176,7 +176,7 @@
 		logev.RowSkipped.Log(s.host.log).Str("table", row.Key.Table).Str("row", row.Key.Name).Err(err).Send()
 		return
 	}
-	s.runner.Send(plan.JobMsg{Job: job, Progress: progress[job.ID], Adopted: adopted})
+	s.runner.Send(plan.JobMsg{Job: job, Progress: progress[job.ID]})
 }
 
 // followJobs sends new jobs and cancellations to the planner.
@@ -192,7 +192,7 @@
 		}
 		after = rows.Version
 		for _, r := range rows.Rows {
-			s.sendJob(r, nil, false)
+			s.sendJob(r, nil)
 		}
 		for _, r := range rows.Rows {
 			if id, ok := cancelled(r.Key.Name); ok && !r.Deleted {
--- a/internal/wire/record/record.gen.go
+++ b/internal/wire/record/record.gen.go
@@ -48,6 +48,8 @@
 
 // GangProgress defines model for GangProgress.
 type GangProgress struct {
+	// Attempt The attempt of the places.
+	Attempt    int    `json:"attempt,omitempty,omitzero"`
 	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
 	Done       bool   `json:"done,omitempty,omitzero"`
 
@@ -57,7 +59,10 @@
 	// First Index of the gang's first task.
 	First      int `json:"first"`
 	Occurrence int `json:"occurrence,omitempty,omitzero"`
-	Step       int `json:"step"`
+
+	// Places Where the attempt was or may be started; recorded before any start is sent.
+	Places []Place `json:"places,omitempty,omitzero"`
+	Step   int     `json:"step"`
 }
 
 // Job defines model for Job.
@@ -99,6 +104,13 @@
 	Sequence int64 `json:"sequence"`
 }
 
+// Place defines model for Place.
+type Place struct {
+	// Index The task's index in its step.
+	Index  int    `json:"index"`
+	Worker string `json:"worker"`
+}
+
 // Progress defines model for Progress.
 type Progress struct {
 	// Attempt Highest attempt that any gang of the job has used.
