Slow workers are told by trusted estimates; store calls are retried by its usual time

Store calls are tried again after four usual times of the store (60 ms at least) in place of 350 ms, as lost answers never come. Placement lines of the log show what was free and how old the look at the worker was.

--- a/internal/core/plan/cmd.go
+++ b/internal/core/plan/cmd.go
@@ -89,7 +89,11 @@
 	Worker  string
 	Domain  string
 	Detail  string
-	// InputAge is how old the newest input about the worker was.
+	// Free is the accelerators of usable workers that were free, and Whole the
+	// usable workers without any run.
+	Free  int
+	Whole int
+	// InputAge is how long ago the worker was last looked at.
 	InputAge      time.Duration
 	ConfigVersion int64
 }
--- a/internal/core/plan/learn.go
+++ b/internal/core/plan/learn.go
@@ -89,6 +89,15 @@
 	return share*learned + (1-share)*own
 }
 
+// trustedMiss is the mean miss up to which estimates tell a slow worker from a
+// long task.
+const trustedMiss = 0.45
+
+// trusted reports whether estimates of the queue are known to be good.
+func (t *taskTimes) trusted() bool {
+	return t.ratio.count >= trustedAfter && t.miss.value < trustedMiss
+}
+
 func (g *gang) estimate() time.Duration {
 	return time.Duration(g.spec().EstimateMillis) * time.Millisecond
 }
--- a/internal/core/plan/pace.go
+++ b/internal/core/plan/pace.go
@@ -7,10 +7,10 @@
 	wholeWork = 100
 	// paceSpan is the least time over which a run's pace is measured.
 	paceSpan = 700 * time.Millisecond
-	// paceWeight is the weight of one measurement of a worker's pace.
-	paceWeight = 0.5
 	// slowPace is the part of the expected pace under which a worker is slow.
-	slowPace = 0.4
+	slowPace = 0.35
+	// slowAfter is how many measurements in a row make a worker slow.
+	slowAfter = 2
 	// paceKept is how long a worker is thought to go on at a slow pace.
 	paceKept = 4 * time.Second
 )
@@ -28,22 +28,29 @@
 	if span < paceSpan {
 		return
 	}
+	moved := r.percent - r.pacePercent
+	r.paceFrom, r.pacePercent, r.pace = now, r.percent, 0
+	if !m.learn.of(r.gang.job.spec.Queue).trusted() {
+		return
+	}
 	work := m.expected(r.gang)
 	if r.gang.away {
 		work = time.Duration(float64(work) * m.timing.SpreadFactor)
 	}
-	done := float64(r.percent-r.pacePercent) / wholeWork * float64(work)
-	pace := done / float64(span)
+	done := float64(moved) / wholeWork * float64(work)
+	r.pace = done / float64(span)
 	w := r.worker
-	w.pace += paceWeight * (min(pace, 2) - w.pace)
 	w.pacedAt = now
-	r.pace = pace
-	r.paceFrom, r.pacePercent = now, r.percent
+	if r.pace < slowPace {
+		w.slowCount++
+	} else {
+		w.slowCount = 0
+	}
 }
 
 // slow reports whether the worker does its work much slower than expected.
 func (w *worker) slow(now time.Time) bool {
-	return w.pace < slowPace && now.Sub(w.pacedAt) < paceKept
+	return w.slowCount >= slowAfter && now.Sub(w.pacedAt) < paceKept
 }
 
 // moveSlow ends an attempt on a slow worker if its job earns more elsewhere.
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -241,6 +241,9 @@
 	if w.Target != g.job.queue.Target || !m.usable(now, w) || g.failedOn[w.ID] && !m.fewWorkers(now) {
 		return 0
 	}
+	if w.slow(now) && !m.fewWorkers(now) {
+		return 0
+	}
 	s := g.spec()
 	if s.Label != "" && !slices.Contains(w.Labels, s.Label) {
 		return 0
@@ -252,15 +255,15 @@
 	return n
 }
 
-// fewWorkers reports whether there are too few workers to be choosy.
+// fewWorkers reports whether there are too few good workers to be choosy.
 func (m *Model) fewWorkers(now time.Time) bool {
-	n := 0
+	good := 0
 	for _, w := range m.order {
-		if m.usable(now, w) {
-			n++
+		if m.usable(now, w) && !w.slow(now) {
+			good++
 		}
 	}
-	return n < len(m.order)/4
+	return good < len(m.order)/2
 }
 
 // onWorker counts the tasks of the gang's step that are on the worker.
@@ -281,7 +284,6 @@
 		worker *worker
 		slots  int
 		left   record.Amount
-		slow   bool
 	}
 	var candidates []candidate
 	total := 0
@@ -290,7 +292,7 @@
 		if n == 0 {
 			continue
 		}
-		candidates = append(candidates, candidate{w, n, rm.at(w), w.slow(now)})
+		candidates = append(candidates, candidate{w, n, rm.at(w)})
 		total += n
 	}
 	if total < g.size {
@@ -298,7 +300,6 @@
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
-			last(a.slow, b.slow),
 			cmp.Compare(a.left.Accelerators, b.left.Accelerators),
 			cmp.Compare(a.left.MilliCores, b.left.MilliCores),
 		)
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -215,10 +215,31 @@
 	}
 	if w != nil {
 		d.Worker, d.Domain = w.ID, w.Domain
+		if !w.lookedAt.IsZero() {
+			d.InputAge = m.now.Sub(w.lookedAt)
+		}
+	}
+	if kind == Placed || kind == Preempted {
+		d.Free, d.Whole = m.free()
 	}
 	m.emit(d)
 }
 
+// free returns the accelerators that are free on usable workers, and how many
+// of these workers have no run.
+func (m *Model) free() (accelerators, whole int) {
+	for _, w := range m.order {
+		if !m.usable(m.now, w) {
+			continue
+		}
+		accelerators += max(0, w.free.Accelerators)
+		if len(w.runs) == 0 {
+			whole++
+		}
+	}
+	return accelerators, whole
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -60,10 +60,10 @@
 	lastFail  string
 	benches   int
 	benchedTo time.Time
-	// pace is how fast tasks come on here against what was expected, measured
-	// last at pacedAt.
-	pace    float64
-	pacedAt time.Time
+	// slowCount is how many measurements in a row, the newest at pacedAt, were
+	// much slower than expected.
+	slowCount int
+	pacedAt   time.Time
 }
 
 // rack is the workers of one rack of one pool.
@@ -73,7 +73,7 @@
 }
 
 func newWorker(w Worker) *worker {
-	return &worker{Worker: w, runs: map[TaskID]*run{}, free: w.Capacity, pace: 1}
+	return &worker{Worker: w, runs: map[TaskID]*run{}, free: w.Capacity}
 }
 
 func (m *Model) setRoster(now time.Time, entries []record.RosterEntry) {
--- a/internal/edge/fleet/decision.go
+++ b/internal/edge/fleet/decision.go
@@ -30,7 +30,10 @@
 		line = line.Str("job", d.Job).Int("step", d.Step).Int("task", d.First).Int("attempt", d.Attempt)
 	}
 	if d.Worker != "" {
-		line = line.Str("worker", d.Worker).Str("domain", d.Domain)
+		line = line.Str("worker", d.Worker).Str("domain", d.Domain).Dur("looked-ago-ms", d.InputAge)
+	}
+	if d.Kind == plan.Placed || d.Kind == plan.Preempted {
+		line = line.Int("free-accelerators", d.Free).Int("free-workers", d.Whole)
 	}
 	line.Str("detail", d.Detail).Send()
 }
--- a/internal/edge/fleet/front.go
+++ b/internal/edge/fleet/front.go
@@ -25,7 +25,7 @@
 
 // front answers callers from the store. It implements Front.
 type front struct {
-	store store.Store
+	store *store.Client
 	clock func() time.Time
 	log   *zerolog.Logger
 
@@ -37,7 +37,7 @@
 	lengthsUntil time.Time
 }
 
-func newFront(s store.Store, clock func() time.Time, log *zerolog.Logger, g *gate.Gate) *front {
+func newFront(s *store.Client, clock func() time.Time, log *zerolog.Logger, g *gate.Gate) *front {
 	return &front{store: s, clock: clock, log: log, gate: g}
 }
 
@@ -95,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	row, err := store.Insert(ctx, f.store, store.Row{Key: jobKey(job.ID), Value: value}, refusedPatience)
+	row, err := f.store.Insert(ctx, store.Row{Key: jobKey(job.ID), Value: value}, refusedPatience)
 	switch {
 	case err == nil:
 		logev.JobRecorded.Log(f.log).Str("job", job.ID).Str("queue", job.Queue).Str("team", job.Team).
@@ -112,7 +112,7 @@
 
 // State implements Front.
 func (f *front) State(ctx context.Context, _ Route, id string) (record.JobState, error) {
-	row, err := store.Read(ctx, f.store, progressKey(id))
+	row, err := f.store.Read(ctx, progressKey(id))
 	if err != nil {
 		return "", errors.Mark(err, ErrNotReady)
 	}
@@ -123,7 +123,7 @@
 		}
 		return p.State, nil
 	}
-	row, err = store.Read(ctx, f.store, jobKey(id))
+	row, err = f.store.Read(ctx, jobKey(id))
 	if err != nil {
 		return "", errors.Mark(err, ErrNotReady)
 	}
@@ -135,7 +135,7 @@
 
 // Cancel implements Front.
 func (f *front) Cancel(ctx context.Context, _ Route, id string) error {
-	row, err := store.Read(ctx, f.store, jobKey(id))
+	row, err := f.store.Read(ctx, jobKey(id))
 	if err != nil {
 		return errors.Mark(err, ErrNotReady)
 	}
@@ -146,7 +146,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = store.Insert(ctx, f.store, store.Row{Key: cancelKey(id), Value: value}, refusedPatience)
+	_, err = f.store.Insert(ctx, store.Row{Key: cancelKey(id), Value: value}, refusedPatience)
 	switch {
 	case err == nil:
 		logev.CancelRecorded.Log(f.log).Str("job", id).Send()
@@ -165,7 +165,7 @@
 	f.mu.Unlock()
 	if !fresh {
 		sentAt := f.clock()
-		row, err := store.Read(ctx, f.store, waitingKey)
+		row, err := f.store.Read(ctx, waitingKey)
 		if err != nil {
 			return 0, errors.Mark(err, ErrNotReady)
 		}
--- a/internal/edge/fleet/host.go
+++ b/internal/edge/fleet/host.go
@@ -38,7 +38,7 @@
 	incarnation string
 	log         *zerolog.Logger
 	clock       func() time.Time
-	store       store.Store
+	store       *store.Client
 	workers     Workers
 	directory   Directory
 	front       *front
@@ -51,7 +51,7 @@
 }
 
 // New returns a host that is not running yet.
-func New(settings setng.Fleet, log *zerolog.Logger, clock func() time.Time, s store.Store, workers Workers, directory Directory) *Host {
+func New(settings setng.Fleet, log *zerolog.Logger, clock func() time.Time, s *store.Client, workers Workers, directory Directory) *Host {
 	return &Host{
 		settings:    settings,
 		incarnation: uuid.NewString(),
--- a/internal/edge/fleet/lead.go
+++ b/internal/edge/fleet/lead.go
@@ -66,7 +66,7 @@
 func (h *Host) leaderRow(ctx context.Context) (store.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, leaderCall)
 	defer cancel()
-	return store.Read(ctx, h.store, leaderKey)
+	return h.store.Read(ctx, leaderKey)
 }
 
 // decodeLeader reads the leader's row. One that cannot be read has no holder.
--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return 0, err
 	}
-	roster, err := store.Read(ctx, h.store, rosterKey)
+	roster, err := h.store.Read(ctx, rosterKey)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/edge/store/retry.go
+++ b/internal/edge/store/retry.go
@@ -4,38 +4,79 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
 const (
-	// firstTry is how long the first of several tries may take.
-	firstTry = 350 * time.Millisecond
-	// lastTry bounds how long any of them may take.
-	lastTry = 1500 * time.Millisecond
+	// leastTry and lastTry bound how long one of several tries may take.
+	leastTry = 60 * time.Millisecond
+	lastTry  = 1500 * time.Millisecond
+	// tryRounds is how many times its usual time a call gets before it is
+	// tried again: an answer may be lost for good.
+	tryRounds = 4
 	// firstPause and lastPause lie between a refused try and the next.
-	firstPause = 20 * time.Millisecond
-	lastPause  = 300 * time.Millisecond
+	firstPause = 15 * time.Millisecond
+	lastPause  = 250 * time.Millisecond
+	// latencyWeight is the weight of one call in the usual time.
+	latencyWeight = 0.2
 )
 
+// Client repeats calls to a store until their outcome is certain. It learns
+// how long the store takes.
+type Client struct {
+	Store
+	// usual is the mean time of a call, in nanoseconds.
+	usual atomic.Int64
+}
+
+// NewClient returns a client of the store.
+func NewClient(s Store) *Client {
+	return &Client{Store: s}
+}
+
+// took takes in how long a call took that was answered.
+func (c *Client) took(begin time.Time) {
+	usual := c.usual.Load()
+	c.usual.Store(usual + int64(latencyWeight*float64(int64(time.Since(begin))-usual)))
+}
+
+// Usual returns how long a call to the store usually takes.
+func (c *Client) Usual() time.Duration {
+	return time.Duration(c.usual.Load())
+}
+
 // tries spaces the repetitions of one call.
 type tries struct {
 	timeout time.Duration
 	pause   time.Duration
 }
 
-func newTries() tries {
-	return tries{timeout: firstTry, pause: firstPause}
+func (c *Client) newTries() tries {
+	return tries{timeout: max(leastTry, tryRounds*c.Usual()), pause: firstPause}
 }
 
 // next returns the context of one try.
 func (t *tries) next(ctx context.Context) (context.Context, context.CancelFunc) {
-	timeout := t.timeout
-	t.timeout = min(2*t.timeout, lastTry)
+	timeout := min(t.timeout, lastTry)
+	t.timeout *= 2
 	return context.WithTimeout(ctx, timeout)
 }
 
+// transact makes one try of a change.
+func (c *Client) transact(ctx context.Context, t *tries, change Change) (Outcome, error) {
+	try, cancel := t.next(ctx)
+	defer cancel()
+	begin := time.Now()
+	outcome, err := c.Transact(try, change)
+	if err == nil {
+		c.took(begin)
+	}
+	return outcome, err
+}
+
 // rest waits before the next try.
 func (t *tries) rest(ctx context.Context) error {
 	pause := t.pause/2 + rand.N(t.pause)
@@ -50,13 +91,15 @@
 
 // Read returns one row, which has version 0 if it is absent. It tries until
 // ctx ends.
-func Read(ctx context.Context, s Store, key Key) (Row, error) {
-	t := newTries()
+func (c *Client) Read(ctx context.Context, key Key) (Row, error) {
+	t := c.newTries()
 	for {
 		try, cancel := t.next(ctx)
-		rows, err := s.Range(try, key.Table, key.Name, key.Name+"\x00", 1)
+		begin := time.Now()
+		rows, err := c.Range(try, key.Table, key.Name, key.Name+"\x00", 1)
 		cancel()
 		if err == nil {
+			c.took(begin)
 			if len(rows.Rows) == 0 {
 				return Row{Key: key}, nil
 			}
@@ -72,15 +115,13 @@
 // the store has refused for patience. It returns the row that is there: with
 // the value given, or with what was there before. ErrRefused is returned only
 // if no try can have stored the row.
-func Insert(ctx context.Context, s Store, row Row, patience time.Duration) (Row, error) {
-	t := newTries()
+func (c *Client) Insert(ctx context.Context, row Row, patience time.Duration) (Row, error) {
+	t := c.newTries()
 	giveUp := time.Now().Add(patience)
 	open := false
 	change := Change{Expect: []Row{{Key: row.Key}}, Put: []Row{row}}
 	for {
-		try, cancel := t.next(ctx)
-		outcome, err := s.Transact(try, change)
-		cancel()
+		outcome, err := c.transact(ctx, &t, change)
 		switch {
 		case err == nil && outcome.Made:
 			row.Version = outcome.Version
@@ -116,14 +157,14 @@
 // repeated change is made at most once, one that the network delays cannot be
 // made after a later one, and a writer whose row another has written is fenced.
 type Lane struct {
-	store   Store
+	client  *Client
 	key     Key
 	version int64
 }
 
 // NewLane returns a lane on a row with its present version.
-func NewLane(s Store, key Key, version int64) *Lane {
-	return &Lane{store: s, key: key, version: version}
+func NewLane(c *Client, key Key, version int64) *Lane {
+	return &Lane{client: c, key: key, version: version}
 }
 
 // Apply makes a change together with the lane's row, which gets the value. No
@@ -132,11 +173,9 @@
 func (l *Lane) Apply(ctx context.Context, change Change, value []byte) error {
 	change.Expect = append(change.Expect, Row{Key: l.key, Version: l.version})
 	change.Put = append(change.Put, Row{Key: l.key, Value: value})
-	t := newTries()
+	t := l.client.newTries()
 	for {
-		try, cancel := t.next(ctx)
-		outcome, err := l.store.Transact(try, change)
-		cancel()
+		outcome, err := l.client.transact(ctx, &t, change)
 		switch {
 		case err == nil && outcome.Made:
 			l.version = outcome.Version
--- a/internal/ops/verbs/fleet.go
+++ b/internal/ops/verbs/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/rattanshore/rattanshore/internal/edge/clock"
 	"github.com/rattanshore/rattanshore/internal/edge/fleet"
+	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
 	"github.com/rattanshore/rattanshore/internal/ops/setng"
 	"github.com/rattanshore/rattanshore/platform"
@@ -31,7 +32,7 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	go logReloads(ctx, &log)
-	rows := platform.NewStore(settings.Store)
+	rows := store.NewClient(platform.NewStore(settings.Store))
 	host := fleet.New(settings, &log, steady.Now, rows, platform.NewWorkers(steady.Now), platform.NewDirectory(rows))
 	ingress := platform.NewIngress(host.Front(), steady.Now)
 	return host.Run(ctx, ingress, http.HandlerFunc(ingress.Ready))
