Slow members are told by their peers; gangs wait for their rack while room is scarce

Change: a member whose percent comes on at under a third of its peers' pace marks its worker as slow for 4 s; a gang goes away from its rack or data only while under 55 % of the room is in use.

--- a/internal/core/plan/drain.go
+++ b/internal/core/plan/drain.go
@@ -32,10 +32,7 @@
 
 // endOf returns when a run is thought to end, by its percent if it shows one.
 func (m *Model) endOf(now time.Time, r *run) time.Time {
-	work := m.expected(r.gang)
-	if r.gang.away {
-		work = time.Duration(float64(work) * m.timing.SpreadFactor)
-	}
+	work := m.lasts(r.gang)
 	left := float64(wholeWork-r.percent) / wholeWork
 	if r.pace > 0 {
 		left /= r.pace
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -183,13 +183,31 @@
 	return nil
 }
 
-// mayLeaveData reports whether waiting for the better place has cost as much
-// as going elsewhere would.
+// mayLeaveData reports whether a gang may take places where it takes several
+// times as long: only while most of the room is free, since it would hold it
+// for so much longer.
 func (m *Model) mayLeaveData(now time.Time, g *gang) bool {
-	extra := time.Duration((m.timing.SpreadFactor - 1) * float64(m.expected(g)))
-	return now.Sub(g.readyAt) > extra/2
+	if now.Sub(g.readyAt) < leaveDataAfter {
+		return false
+	}
+	used, all := 0, 0
+	for _, w := range m.order {
+		if w.Target != g.job.queue.Target || !m.usable(now, w) {
+			continue
+		}
+		all += w.Capacity.Accelerators
+		used += w.Capacity.Accelerators - w.free.Accelerators
+	}
+	return float64(used) < leaveDataUse*float64(all)
 }
 
+const (
+	// leaveDataAfter is how long a gang waits for the better places at least.
+	leaveDataAfter = time.Second
+	// leaveDataUse is the part of the room in use up to which it goes elsewhere.
+	leaveDataUse = 0.55
+)
+
 // byRoom returns the racks in which the gang fits, fullest first.
 func (m *Model) byRoom(now time.Time, g *gang, rm *room) []rack {
 	type candidate struct {
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -50,8 +50,10 @@
 
 	percent   int
 	percentAt time.Time
-	// pace is the newest measurement against what was expected, made since
+	// rate is the percent per second since the gang was whole. pace is the
+	// newest measurement against peers or estimates, the latter made since
 	// paceFrom, when the percent was pacePercent.
+	rate        float64
 	pace        float64
 	paceFrom    time.Time
 	pacePercent int
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -60,10 +60,10 @@
 	lastFail  string
 	benches   int
 	benchedTo time.Time
-	// slowCount is how many measurements in a row, the newest at pacedAt, were
-	// much slower than expected.
+	// slowCount is how many measurements in a row were much slower than
+	// expected; slowUntil is when the worker is no longer thought to be slow.
 	slowCount int
-	pacedAt   time.Time
+	slowUntil time.Time
 }
 
 // rack is the workers of one rack of one pool.
