Claims end, and count what a task needs most; work that was stopped before is dearer

Change: width by what a rack holds of the task; claims end after 8 s or with a worker; each stop makes the next one dearer; places are chosen by how few more tasks fit. Test: 'a wide gang is not kept waiting for workers that leave'.

--- a/internal/core/plan/claim.go
+++ b/internal/core/plan/claim.go
@@ -10,6 +10,8 @@
 	claimAfter = 1500 * time.Millisecond
 	// claimShare is the part of a rack from which on a gang counts as wide.
 	claimShare = 0.4
+	// claimLimit is how long workers are cleared for one gang at most.
+	claimLimit = 8 * time.Second
 	// claimRacks is how many racks there are for each claim at the same time.
 	claimRacks = 4
 )
@@ -29,6 +31,7 @@
 		return
 	}
 	g.claimed = workers
+	g.claimUntil = now.Add(claimLimit)
 	for _, w := range workers {
 		w.claimedBy = g
 	}
@@ -57,20 +60,44 @@
 	return w.claimedBy != nil && w.claimedBy != g && g.job.queue.Priority >= w.claimedBy.job.queue.Priority
 }
 
-// wide reports whether the gang takes a large part of a rack.
+// wide reports whether the gang takes a large part of a rack, in whichever part
+// of a worker its tasks need most.
 func (m *Model) wide(g *gang) bool {
 	largest := 0
 	for _, rk := range m.racks {
-		if rk.target != g.job.queue.Target {
+		if rk.target == g.job.queue.Target {
+			largest = max(largest, slotsOf(g, rk.workers))
+		}
+	}
+	return float64(g.size) >= claimShare*float64(largest)
+}
+
+// slotsOf returns how many tasks of the gang the workers hold when empty.
+func slotsOf(g *gang, workers []*worker) int {
+	slots := 0
+	for _, w := range workers {
+		if w.listed && !w.Draining {
+			slots += times(g.need(), w.Capacity)
+		}
+	}
+	return slots
+}
+
+// expireClaims gives up claims that take too long, or of which a worker can no
+// longer be used.
+func (m *Model) expireClaims(now time.Time) {
+	if m.claims == 0 {
+		return
+	}
+	for _, g := range m.queue {
+		if len(g.claimed) == 0 {
 			continue
 		}
-		room := 0
-		for _, w := range rk.workers {
-			room += w.Capacity.Accelerators
+		lost := slices.ContainsFunc(g.claimed, func(w *worker) bool { return !m.usable(now, w) })
+		if lost || now.After(g.claimUntil) {
+			m.unclaim(g)
 		}
-		largest = max(largest, room)
 	}
-	return float64(g.size*g.need().Accelerators) >= claimShare*float64(largest)
 }
 
 // soonestRoom returns the workers on which the gang will fit first, if nothing
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -50,7 +50,10 @@
 	runs   []*run
 	places []*worker
 	// claimed are the workers that are being cleared for the gang.
-	claimed   []*worker
+	claimed    []*worker
+	claimUntil time.Time
+	// preempted counts how often the gang has lost its places.
+	preempted int
 	deadline  time.Time
 	dueAt     time.Time
 	readyAt   time.Time
--- a/internal/core/plan/load_test.go
+++ b/internal/core/plan/load_test.go
@@ -104,4 +104,33 @@
 			Expect(w.state(id)).To(Equal(record.Completed), id)
 		}
 	})
+
+	// Pattern: the workers that are being cleared for a gang leave meanwhile.
+	It("a wide gang is not kept waiting for workers that leave", func() {
+		w := newWorld(1, 12)
+		w.work = func(plan.TaskID) time.Duration { return 6 * time.Second }
+		w.run(100 * time.Millisecond)
+		for i := range 12 {
+			small := step(8, 1)
+			small.EstimateMillis = 6000
+			w.submit(job(i+1, "long", small))
+		}
+		w.run(time.Second)
+		wide := gangStep(5, 8)
+		wide.SameRack = true
+		wide.EstimateMillis = 6000
+		wideJob := job(1<<20, "long", wide)
+		w.submit(wideJob)
+		w.run(3 * time.Second)
+		// One worker of each rack drains; five of six are left in each.
+		for _, id := range []string{"worker-00", "worker-06"} {
+			entry := w.workers[id].entry
+			entry.Draining = true
+			entry.Remaining = time.Minute
+			w.send(plan.WorkersMsg{Changed: []plan.Worker{entry}})
+		}
+		w.run(15 * time.Second)
+		Expect(w.problems).To(BeEmpty())
+		Expect(w.startedAt).To(HaveKey(wideJob.ID))
+	})
 })
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -126,6 +126,7 @@
 	m.changed = false
 	m.nextPass = now.Add(passInterval)
 	m.soonestPass = now.Add(passPause + time.Duration(len(m.queue))*passPauseEach)
+	m.expireClaims(now)
 	m.refreshView(now)
 	order := make([]ranked, 0, len(m.queue))
 	for _, g := range m.queue {
@@ -263,12 +264,7 @@
 		if rk.target != g.job.queue.Target {
 			continue
 		}
-		slots := 0
-		for _, w := range rk.workers {
-			if w.listed && !w.Draining {
-				slots += times(g.need(), w.Capacity)
-			}
-		}
+		slots := slotsOf(g, rk.workers)
 		if slots >= g.size {
 			return true
 		}
@@ -316,6 +312,7 @@
 // compareLeft puts workers first that have least room to spare.
 func compareLeft(a, b candidate) int {
 	return cmp.Or(
+		cmp.Compare(a.slots, b.slots),
 		cmp.Compare(a.left.Accelerators, b.left.Accelerators),
 		cmp.Compare(a.left.MilliCores, b.left.MilliCores),
 	)
--- a/internal/core/plan/preempt.go
+++ b/internal/core/plan/preempt.go
@@ -48,6 +48,7 @@
 	}
 	m.reserve(now, g, best.places)
 	for _, v := range best.victims {
+		v.gang.preempted++
 		m.decide(Preempted, v.gang, nil, "for "+g.job.spec.ID)
 		m.breakUp(now, v.gang, "preempted for "+g.job.spec.ID)
 	}
--- a/internal/core/plan/value.go
+++ b/internal/core/plan/value.go
@@ -82,7 +82,8 @@
 }
 
 // lossOf returns what stopping the gang costs: the work thrown away, and what
-// its job earns less if it has to start again.
+// its job earns less if it has to start again. It is dearer each time, so that
+// no work is stopped for ever.
 func (m *Model) lossOf(now time.Time, g *gang) float64 {
 	work := m.expected(g)
 	left := max(0, work-now.Sub(g.startedAt))
@@ -92,7 +93,8 @@
 	}
 	goesOn := now.Add(left)
 	restarted := now.Add(again + m.timing.TaskStop + restartWait)
-	return m.thrown(now, g) + m.earns(g.job, goesOn) - m.earns(g.job, restarted)
+	loss := m.thrown(now, g) + m.earns(g.job, goesOn) - m.earns(g.job, restarted)
+	return loss * float64(1+g.preempted)
 }
 
 // restartWait is how long a gang that lost its places is thought to wait.
