--- a/internal/core/plan/cmd.go
+++ b/internal/core/plan/cmd.go
@@ -77,6 +77,7 @@
 	JobEnded
 	JobTaken
 	Claimed
+	JobStarted
 )
 
 // DecisionCmd reports one decision for the log.
@@ -93,6 +94,8 @@
 	// usable workers without any run.
 	Free  int
 	Whole int
+	// Delay is the time from a job's acceptance to its first start.
+	Delay time.Duration
 	// InputAge is how long ago the worker was last looked at.
 	InputAge      time.Duration
 	ConfigVersion int64
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -77,7 +77,9 @@
 	open    map[stepKey]int
 	attempt int
 	adopted bool
+	// started is set once a gang was placed, atWork once one was seen at work.
 	started bool
+	atWork  bool
 	reason  string
 	// coreSecs is the job's work in core-seconds, by its estimates.
 	coreSecs float64
@@ -142,6 +144,7 @@
 // dropped when their workers answer.
 func (m *Model) restore(now time.Time, j *job, p record.Progress) {
 	j.started = p.State == record.Running
+	j.atWork = j.started
 	for _, g := range j.gangs {
 		g.attempt = j.attempt
 	}
--- a/internal/core/plan/load_test.go
+++ b/internal/core/plan/load_test.go
@@ -105,31 +105,38 @@
 		}
 	})
 
-	// Pattern: the workers that are being cleared for a gang leave meanwhile.
+	// Pattern: a worker that is being cleared for a gang leaves meanwhile, and
+	// small tasks go on coming.
 	It("a wide gang is not kept waiting for workers that leave", func() {
 		w := newWorld(1, 12)
-		w.work = func(plan.TaskID) time.Duration { return 6 * time.Second }
+		w.work = func(t plan.TaskID) time.Duration { return time.Duration(7+t.Index%3) * time.Second }
 		w.run(100 * time.Millisecond)
-		for i := range 12 {
-			small := step(8, 1)
-			small.EstimateMillis = 6000
-			w.submit(job(i+1, "long", small))
+		number := 0
+		feed := func() {
+			for range 4 {
+				number++
+				small := step(12, 1)
+				small.EstimateMillis = 8000
+				w.submit(job(number, "long", small))
+			}
 		}
+		feed()
+		feed()
 		w.run(time.Second)
-		wide := gangStep(5, 8)
+		wide := gangStep(6, 8)
 		wide.SameRack = true
-		wide.EstimateMillis = 6000
+		wide.EstimateMillis = 8000
 		wideJob := job(1<<20, "long", wide)
 		w.submit(wideJob)
 		w.run(3 * time.Second)
-		// One worker of each rack drains; five of six are left in each.
-		for _, id := range []string{"worker-00", "worker-06"} {
-			entry := w.workers[id].entry
-			entry.Draining = true
-			entry.Remaining = time.Minute
-			w.send(plan.WorkersMsg{Changed: []plan.Worker{entry}})
+		entry := w.workers["worker-00"].entry
+		entry.Draining = true
+		entry.Remaining = time.Minute
+		w.send(plan.WorkersMsg{Changed: []plan.Worker{entry}})
+		for range 12 {
+			feed()
+			w.run(3 * time.Second)
 		}
-		w.run(15 * time.Second)
 		Expect(w.problems).To(BeEmpty())
 		Expect(w.startedAt).To(HaveKey(wideJob.ID))
 	})
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -243,9 +243,17 @@
 	r.percentAt = now
 	m.lookSoon(now, r.worker)
 	g := r.gang
-	if g.whole() && g.together.IsZero() {
-		g.together = now
-		m.decide(kind, g, r.worker, "")
+	if !g.whole() || !g.together.IsZero() {
+		return
+	}
+	g.together = now
+	m.decide(kind, g, r.worker, "")
+	if kind == Running && !g.job.atWork {
+		g.job.atWork = true
+		m.emit(DecisionCmd{
+			Kind: JobStarted, Job: g.job.spec.ID, Attempt: g.attempt, Worker: r.worker.ID, Domain: r.worker.Domain,
+			Delay: now.Sub(g.job.spec.SubmittedAt), Detail: g.job.spec.Queue, ConfigVersion: m.config.Version,
+		})
 	}
 }
 
--- a/internal/edge/fleet/decision.go
+++ b/internal/edge/fleet/decision.go
@@ -5,6 +5,7 @@
 
 	"github.com/rattanshore/rattanshore/internal/core/plan"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
+	"github.com/rattanshore/rattanshore/internal/ops/metrc"
 )
 
 // logDecision writes one decision of the planner.
@@ -20,6 +21,7 @@
 		plan.WorkerBenched: logev.WorkerSetAside,
 		plan.JobEnded:      logev.JobEnded,
 		plan.JobTaken:      logev.JobTaken,
+		plan.JobStarted:    logev.JobStarted,
 		plan.Claimed:       logev.WorkersClaimed,
 	}
 	event, ok := events[d.Kind]
@@ -36,5 +38,25 @@
 	if d.Kind == plan.Placed || d.Kind == plan.Preempted {
 		line = line.Int("free-accelerators", d.Free).Int("free-workers", d.Whole)
 	}
+	if d.Kind == plan.JobStarted {
+		line = line.Dur("delay-ms", d.Delay)
+	}
 	line.Str("detail", d.Detail).Send()
 }
+
+// count takes one decision of the planner into the metrics.
+func count(meter *metrc.Fleet, d plan.DecisionCmd) {
+	switch d.Kind {
+	case plan.Placed:
+		meter.Placed.Inc()
+	case plan.Preempted:
+		meter.Preempted.Inc()
+	case plan.Broken:
+		meter.Broken.Inc()
+	case plan.JobEnded:
+		meter.JobsEnded.Inc()
+	case plan.JobStarted:
+		meter.StartDelay.Update(d.Delay.Seconds())
+	case plan.Running, plan.Ended, plan.Adopted, plan.WorkerLost, plan.WorkerBenched, plan.JobTaken, plan.Claimed:
+	}
+}
--- a/internal/edge/fleet/front.go
+++ b/internal/edge/fleet/front.go
@@ -12,6 +12,7 @@
 	"github.com/rattanshore/rattanshore/internal/core/jobs"
 	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
+	"github.com/rattanshore/rattanshore/internal/ops/metrc"
 	"github.com/rattanshore/rattanshore/internal/wire/record"
 )
 
@@ -28,6 +29,7 @@
 	store *store.Client
 	clock func() time.Time
 	log   *zerolog.Logger
+	meter *metrc.Fleet
 
 	mu       sync.Mutex
 	gate     *gate.Gate
@@ -37,8 +39,8 @@
 	lengthsUntil time.Time
 }
 
-func newFront(s *store.Client, clock func() time.Time, log *zerolog.Logger, g *gate.Gate) *front {
-	return &front{store: s, clock: clock, log: log, gate: g}
+func newFront(s *store.Client, clock func() time.Time, log *zerolog.Logger, meter *metrc.Fleet, g *gate.Gate) *front {
+	return &front{store: s, clock: clock, log: log, meter: meter, gate: g}
 }
 
 // Resolve implements Front.
@@ -83,6 +85,21 @@
 
 // Submit implements Front.
 func (f *front) Submit(ctx context.Context, route Route, job record.Job) error {
+	begin := time.Now()
+	err := f.submit(ctx, route, job)
+	switch {
+	case err == nil:
+		f.meter.Accepted.Inc()
+	case errors.Is(err, ErrOpen):
+		f.meter.Open.Inc()
+	default:
+		f.meter.Refused.Inc()
+	}
+	f.meter.SubmitTime.UpdateDuration(begin)
+	return err
+}
+
+func (f *front) submit(ctx context.Context, route Route, job record.Job) error {
 	if err := jobs.Check(job); err != nil {
 		logev.JobRefused.Log(f.log).Str("job", job.ID).Str("queue", job.Queue).Err(err).Send()
 		return errors.Mark(err, ErrInvalid)
@@ -149,6 +166,7 @@
 	_, err = f.store.Insert(ctx, store.Row{Key: cancelKey(id), Value: value}, refusedPatience)
 	switch {
 	case err == nil:
+		f.meter.Cancelled.Inc()
 		logev.CancelRecorded.Log(f.log).Str("job", id).Send()
 		return nil
 	case errors.Is(err, store.ErrUnanswered):
--- a/internal/edge/fleet/host.go
+++ b/internal/edge/fleet/host.go
@@ -18,6 +18,7 @@
 	"github.com/rattanshore/rattanshore/internal/core/rules"
 	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
+	"github.com/rattanshore/rattanshore/internal/ops/metrc"
 	"github.com/rattanshore/rattanshore/internal/ops/setng"
 )
 
@@ -30,6 +31,8 @@
 	// headerTimeout and idleTimeout bound a caller's connection.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
+	// metricsPath is where metrics are shown on the peers' listener.
+	metricsPath = "/metrics"
 )
 
 // Host is one entry host.
@@ -42,6 +45,7 @@
 	workers     Workers
 	directory   Directory
 	front       *front
+	meter       *metrc.Fleet
 
 	mu     sync.Mutex
 	config rules.Config
@@ -51,7 +55,7 @@
 }
 
 // New returns a host that is not running yet.
-func New(settings setng.Fleet, log *zerolog.Logger, clock func() time.Time, s *store.Client, workers Workers, directory Directory) *Host {
+func New(settings setng.Fleet, log *zerolog.Logger, meter *metrc.Fleet, clock func() time.Time, s *store.Client, workers Workers, directory Directory) *Host {
 	return &Host{
 		settings:    settings,
 		incarnation: uuid.NewString(),
@@ -60,7 +64,8 @@
 		store:       s,
 		workers:     workers,
 		directory:   directory,
-		front:       newFront(s, clock, log, gate.New(settings.Timing.KeyAge)),
+		front:       newFront(s, clock, log, meter, gate.New(settings.Timing.KeyAge)),
+		meter:       meter,
 		out:         map[string]bool{},
 	}
 }
@@ -73,8 +78,10 @@
 // Run serves callers with one handler and the balancer with another until ctx
 // ends, and then stops gracefully.
 func (h *Host) Run(ctx context.Context, callers, ready http.Handler) error {
-	servers := []*http.Server{h.server(callers), h.server(ready)}
-	addresses := []string{h.settings.Listen.Callers.String(), h.settings.Listen.Ready.String()}
+	servers := []*http.Server{h.server(callers), h.server(ready), h.server(http.HandlerFunc(h.metrics))}
+	addresses := []string{
+		h.settings.Listen.Callers.String(), h.settings.Listen.Ready.String(), h.settings.Listen.Peers.String(),
+	}
 	failed := make(chan error, len(servers))
 	for i, s := range servers {
 		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addresses[i])
@@ -103,6 +110,15 @@
 	return nil
 }
 
+// metrics shows the host's counters and histograms.
+func (h *Host) metrics(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != metricsPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	h.meter.Write(w)
+}
+
 func (h *Host) server(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
--- a/internal/edge/fleet/lead.go
+++ b/internal/edge/fleet/lead.go
@@ -101,6 +101,7 @@
 	if err := lane.Apply(ctx, store.Change{}, value); err != nil {
 		return 0, nil, false
 	}
+	h.meter.Takeovers.Inc()
 	logev.LeaderTaken.Log(h.log).Int64("epoch", leader.Epoch).Str("before", before.Host).Int64("row-version", row.Version).Send()
 	return leader.Epoch, lane, true
 }
--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -233,6 +233,7 @@
 		s.ended(errDeposed)
 	case plan.DecisionCmd:
 		logDecision(s.host.log, s.epoch, cmd)
+		count(s.host.meter, cmd)
 	}
 }
 
--- a/internal/edge/store/retry.go
+++ b/internal/edge/store/retry.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/rattanshore/rattanshore/internal/ops/metrc"
 )
 
 const (
@@ -28,13 +30,25 @@
 // how long the store takes.
 type Client struct {
 	Store
+	meter *metrc.Fleet
 	// usual is the mean time of a call, in nanoseconds.
 	usual atomic.Int64
 }
 
-// NewClient returns a client of the store.
-func NewClient(s Store) *Client {
-	return &Client{Store: s}
+// NewClient returns a client of the store that counts its calls.
+func NewClient(s Store, meter *metrc.Fleet) *Client {
+	return &Client{Store: s, meter: meter}
+}
+
+// done takes in the end of a call.
+func (c *Client) done(begin time.Time, err error) {
+	c.meter.StoreCalls.Inc()
+	if err != nil {
+		c.meter.StoreFailed.Inc()
+		return
+	}
+	c.meter.StoreTime.UpdateDuration(begin)
+	c.took(begin)
 }
 
 // took takes in how long a call took that was answered.
@@ -71,9 +85,7 @@
 	defer cancel()
 	begin := time.Now()
 	outcome, err := c.Transact(try, change)
-	if err == nil {
-		c.took(begin)
-	}
+	c.done(begin, err)
 	return outcome, err
 }
 
@@ -98,8 +110,8 @@
 		begin := time.Now()
 		rows, err := c.Range(try, key.Table, key.Name, key.Name+"\x00", 1)
 		cancel()
+		c.done(begin, err)
 		if err == nil {
-			c.took(begin)
 			if len(rows.Rows) == 0 {
 				return Row{Key: key}, nil
 			}
--- a/internal/ops/logev/logev.go
+++ b/internal/ops/logev/logev.go
@@ -62,6 +62,7 @@
 	WorkerSilent    Event = 321
 	JobTaken        Event = 322
 	WorkersClaimed  Event = 323
+	JobStarted      Event = 324
 	InternalProblem Event = 900
 )
 
@@ -118,6 +119,7 @@
 	{TaskEnded, "task-ended", zerolog.DebugLevel, "A task, or a gang, has ended successfully."},
 	{JobEnded, "job-ended", zerolog.InfoLevel, "A job of steps has its final state."},
 	{WorkerSilent, "worker-silent", zerolog.WarnLevel, "A worker does not answer or has started anew; the detail says which."},
+	{JobStarted, "job-started", zerolog.InfoLevel, "The first gang of a job is at work; the delay counts from the job's acceptance."},
 	{WorkersClaimed, "workers-claimed", zerolog.InfoLevel, "Others are kept out of workers until a wide gang fits on them."},
 	{JobTaken, "job-taken", zerolog.InfoLevel, "The leader has read a job's row and plans it."},
 	{WorkerSetAside, "worker-set-aside", zerolog.WarnLevel, "A worker gets no work for a while because its tasks fail."},
--- a/internal/ops/metrc/metrc.go
+++ b/internal/ops/metrc/metrc.go
@@ -39,6 +39,55 @@
 	StartDelay  *metrics.Histogram
 }
 
+// Fleet holds the metrics of a host that plans a platform's workers.
+type Fleet struct {
+	Accepted    *metrics.Counter
+	Refused     *metrics.Counter
+	Open        *metrics.Counter
+	Cancelled   *metrics.Counter
+	SubmitTime  *metrics.Histogram
+	StoreCalls  *metrics.Counter
+	StoreFailed *metrics.Counter
+	StoreTime   *metrics.Histogram
+	Takeovers   *metrics.Counter
+	Placed      *metrics.Counter
+	Preempted   *metrics.Counter
+	Broken      *metrics.Counter
+	JobsEnded   *metrics.Counter
+	StartDelay  *metrics.Histogram
+	set         *metrics.Set
+}
+
+// NewFleet returns the metrics of a host in a set of their own.
+func NewFleet() *Fleet {
+	s := metrics.NewSet()
+	counter := func(name string) *metrics.Counter { return s.NewCounter("rattanshore_" + name) }
+	histogram := func(name string) *metrics.Histogram { return s.NewHistogram("rattanshore_" + name) }
+	return &Fleet{
+		Accepted:    counter(`submissions_total{outcome="accepted"}`),
+		Refused:     counter(`submissions_total{outcome="refused"}`),
+		Open:        counter(`submissions_total{outcome="open"}`),
+		Cancelled:   counter("cancellations_total"),
+		SubmitTime:  histogram("submission_seconds"),
+		StoreCalls:  counter("store_calls_total"),
+		StoreFailed: counter("store_failures_total"),
+		StoreTime:   histogram("store_seconds"),
+		Takeovers:   counter("takeovers_total"),
+		Placed:      counter("gang_placements_total"),
+		Preempted:   counter("gang_preemptions_total"),
+		Broken:      counter("gang_breaks_total"),
+		JobsEnded:   counter("jobs_ended_total"),
+		StartDelay:  histogram("job_start_delay_seconds"),
+		set:         s,
+	}
+}
+
+// Write shows all metrics, those of the process included.
+func (f *Fleet) Write(w io.Writer) {
+	f.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
 // Set is the metrics of one entry host.
 type Set struct {
 	Table Table
--- a/internal/ops/verbs/fleet.go
+++ b/internal/ops/verbs/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/rattanshore/rattanshore/internal/edge/fleet"
 	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
+	"github.com/rattanshore/rattanshore/internal/ops/metrc"
 	"github.com/rattanshore/rattanshore/internal/ops/setng"
 	"github.com/rattanshore/rattanshore/platform"
 )
@@ -32,8 +33,9 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	go logReloads(ctx, &log)
-	rows := store.NewClient(platform.NewStore(settings.Store))
-	host := fleet.New(settings, &log, steady.Now, rows, platform.NewWorkers(steady.Now), platform.NewDirectory(rows))
+	meter := metrc.NewFleet()
+	rows := store.NewClient(platform.NewStore(settings.Store), meter)
+	host := fleet.New(settings, &log, meter, steady.Now, rows, platform.NewWorkers(steady.Now), platform.NewDirectory(rows))
 	ingress := platform.NewIngress(host.Front(), steady.Now)
 	return host.Run(ctx, ingress, http.HandlerFunc(ingress.Ready))
 }
