--- a/internal/core/plan/fault_test.go
+++ b/internal/core/plan/fault_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rattanshore/rattanshore/internal/core/plan"
+	"github.com/rattanshore/rattanshore/internal/fakes/crew"
 	"github.com/rattanshore/rattanshore/internal/wire/record"
 )
 
@@ -22,7 +23,7 @@
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), 12)
 		w.loseAnswer = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "lost")
 		w.late = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "late")
-		w.fails = func(task plan.TaskID, _ *fakeWorker) bool {
+		w.fails = func(task plan.TaskID, _ string) bool {
 			return task.Job < "0000000000000004" && w.random.Float64() < 0.3
 		}
 		w.run(200 * time.Millisecond)
@@ -33,11 +34,11 @@
 		}
 		heal(w)
 		w.run(90 * time.Second)
-		for _, p := range w.problems {
+		for _, p := range w.Problems() {
 			t.Error(p)
 		}
-		if len(w.problems) > 0 {
-			t.Log(strings.Join(w.decisions, "\n"))
+		if len(w.Problems()) > 0 {
+			t.Log(strings.Join(w.Notes(), "\n"))
 		}
 		for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
 			switch w.state(id) {
@@ -51,7 +52,7 @@
 
 // act lets one random thing happen.
 func act(t *rapid.T, w *world, number *int) {
-	f := w.workers[fmt.Sprintf("worker-%02d", rapid.IntRange(0, 11).Draw(t, "worker"))]
+	f := w.Worker(fmt.Sprintf("worker-%02d", rapid.IntRange(0, 11).Draw(t, "worker")))
 	switch rapid.IntRange(0, 11).Draw(t, "what") {
 	case 0, 1, 2, 3:
 		*number++
@@ -61,8 +62,8 @@
 			w.cancel(fmt.Sprintf("%016x", rapid.IntRange(1, *number).Draw(t, "job")))
 		}
 	case 5:
-		f.cut = !f.cut
-		w.note("%s cut %v", f.entry.ID, f.cut)
+		f.Cut = !f.Cut
+		w.Note("%s cut %v", f.Entry.ID, f.Cut)
 	case 6:
 		w.crash(f)
 	case 7:
@@ -70,8 +71,8 @@
 	case 8:
 		w.storeDown = !w.storeDown
 	case 9:
-		f.hangs = true
-		w.note("%s hangs", f.entry.ID)
+		f.Hangs = true
+		w.Note("%s hangs", f.Entry.ID)
 	case 10:
 		w.leave(f)
 	case 11:
@@ -94,37 +95,23 @@
 }
 
 // crash ends a worker, and starts a new life of it.
-func (w *world) crash(f *fakeWorker) {
-	id := f.entry.ID
-	w.note("%s crashes", id)
-	f.dead = true
-	for _, r := range f.sorted() {
-		w.breakGang(r, plan.EndBroken)
-	}
-	fresh := w.addWorker(id, f.entry.Domain, f.entry.Rack)
-	fresh.entry.Address = f.entry.Address
-	w.after(time.Second, func() { w.send(plan.WorkersMsg{Changed: []plan.Worker{fresh.entry}}) })
+func (w *world) crash(f *crew.Worker) {
+	w.Crash(f)
+	entry := f.Entry
+	entry.Born = w.now
+	w.Add(entry)
+	w.After(time.Second, func() { w.send(plan.WorkersMsg{Changed: []plan.Worker{entry}}) })
 }
 
-// leave ends a worker for good.
-func (w *world) leave(f *fakeWorker) {
-	alive := 0
-	for _, other := range w.workers {
-		if !other.dead {
-			alive++
-		}
-	}
-	if f.dead || alive < 8 {
+// leave ends a worker for good, if enough others are left.
+func (w *world) leave(f *crew.Worker) {
+	if f.Dead || len(w.Alive()) < 8 {
 		return
 	}
-	w.note("%s leaves", f.entry.ID)
-	f.dead = true
-	for _, r := range f.sorted() {
-		w.breakGang(r, plan.EndBroken)
-	}
-	id := f.entry.ID
-	w.after(time.Second, func() {
-		if w.workers[id].dead {
+	w.Crash(f)
+	id := f.Entry.ID
+	w.After(time.Second, func() {
+		if w.Worker(id).Dead {
 			w.send(plan.WorkersMsg{Gone: []string{id}})
 		}
 	})
@@ -133,11 +120,12 @@
 // heal ends every fault.
 func heal(w *world) {
 	w.loseAnswer, w.late, w.storeDown = 0, 0, false
-	for _, f := range w.workers {
-		f.cut = false
-		if f.hangs {
+	for _, id := range w.IDs() {
+		f := w.Worker(id)
+		f.Cut = false
+		if f.Hangs && !f.Dead {
 			w.crash(f)
 		}
 	}
-	w.fails = func(plan.TaskID, *fakeWorker) bool { return false }
+	w.fails = func(plan.TaskID, string) bool { return false }
 }
--- a/internal/core/plan/load_test.go
+++ b/internal/core/plan/load_test.go
@@ -41,9 +41,10 @@
 			feed()
 			w.run(2 * time.Second)
 		}
-		Expect(w.problems).To(BeEmpty())
-		Expect(w.startedAt).To(HaveKey(wideJob.ID))
-		Expect(w.startedAt[wideJob.ID].Sub(w.jobs[wideJob.ID].SubmittedAt)).To(BeNumerically("<", 15*time.Second))
+		Expect(w.Problems()).To(BeEmpty())
+		at, started := w.FirstStart(wideJob.ID)
+		Expect(started).To(BeTrue())
+		Expect(at.Sub(w.jobs[wideJob.ID].SubmittedAt)).To(BeNumerically("<", 15*time.Second))
 	})
 
 	// Pattern: patient jobs come in waves that would fill every worker, between
@@ -77,11 +78,11 @@
 				continue
 			}
 			urgent++
-			if at, ok := w.startedAt[j.ID]; ok && at.Sub(w.jobs[j.ID].SubmittedAt) < 100*time.Millisecond {
+			if at, ok := w.FirstStart(j.ID); ok && at.Sub(w.jobs[j.ID].SubmittedAt) < 100*time.Millisecond {
 				prompt++
 			}
 		}
-		Expect(w.problems).To(BeEmpty())
+		Expect(w.Problems()).To(BeEmpty())
 		Expect(prompt).To(BeNumerically(">=", urgent*8/10), "%d of %d urgent gangs started at once", prompt, urgent)
 	})
 
@@ -90,8 +91,7 @@
 		w := newWorld(1, 12)
 		w.work = func(plan.TaskID) time.Duration { return 3 * time.Second }
 		w.run(100 * time.Millisecond)
-		slow := w.workers["worker-00"]
-		slow.slowBy = 8
+		w.Worker("worker-00").SlowBy = 8
 		for i := range 4 {
 			g := gangStep(4, 8)
 			g.EstimateMillis = 3000
@@ -99,7 +99,7 @@
 			w.run(time.Second)
 		}
 		w.run(12 * time.Second)
-		Expect(w.problems).To(BeEmpty())
+		Expect(w.Problems()).To(BeEmpty())
 		for id := range w.jobs {
 			Expect(w.state(id)).To(Equal(record.Completed), id)
 		}
@@ -129,7 +129,7 @@
 		wideJob := job(1<<20, "long", wide)
 		w.submit(wideJob)
 		w.run(3 * time.Second)
-		entry := w.workers["worker-00"].entry
+		entry := w.Worker("worker-00").Entry
 		entry.Draining = true
 		entry.Remaining = time.Minute
 		w.send(plan.WorkersMsg{Changed: []plan.Worker{entry}})
@@ -137,7 +137,8 @@
 			feed()
 			w.run(3 * time.Second)
 		}
-		Expect(w.problems).To(BeEmpty())
-		Expect(w.startedAt).To(HaveKey(wideJob.ID))
+		Expect(w.Problems()).To(BeEmpty())
+		_, started := w.FirstStart(wideJob.ID)
+		Expect(started).To(BeTrue())
 	})
 })
--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -16,7 +16,7 @@
 		w.run(100 * time.Millisecond)
 		w.submit(job(1, "long", gangStep(5, 4)))
 		w.run(4 * time.Second)
-		Expect(w.problems).To(BeEmpty())
+		Expect(w.Problems()).To(BeEmpty())
 		Expect(w.state(job(1, "", step(1, 1)).ID)).To(Equal(record.Completed))
 	})
 
@@ -29,20 +29,20 @@
 		j.Steps = append(j.Steps, second)
 		w.submit(j)
 		w.run(6 * time.Second)
-		Expect(w.problems).To(BeEmpty())
+		Expect(w.Problems()).To(BeEmpty())
 		Expect(w.state(j.ID)).To(Equal(record.Completed))
 	})
 
 	It("fails after as many failed runs as its queue allows", func() {
 		w := newWorld(1, 12)
-		w.fails = func(plan.TaskID, *fakeWorker) bool { return true }
+		w.fails = func(plan.TaskID, string) bool { return true }
 		w.run(100 * time.Millisecond)
 		j := job(1, "long", step(1, 1))
 		w.submit(j)
 		w.run(15 * time.Second)
-		Expect(w.problems).To(BeEmpty())
+		Expect(w.Problems()).To(BeEmpty())
 		Expect(w.state(j.ID)).To(Equal(record.Failed))
-		Expect(w.failures[plan.TaskID{Job: j.ID}]).To(Equal(3))
+		Expect(w.Failures(plan.TaskID{Job: j.ID})).To(Equal(3))
 	})
 
 	It("is stopped when it is cancelled, and not started again", func() {
@@ -53,10 +53,10 @@
 		w.run(time.Second)
 		w.cancel(j.ID)
 		w.run(2 * time.Second)
-		Expect(w.problems).To(BeEmpty())
+		Expect(w.Problems()).To(BeEmpty())
 		Expect(w.state(j.ID)).To(Equal(record.Cancelled))
-		for _, f := range w.workers {
-			Expect(f.runs).To(BeEmpty())
+		for _, id := range w.IDs() {
+			Expect(w.Worker(id).Running()).To(BeZero())
 		}
 	})
 
@@ -70,7 +70,7 @@
 		Expect(w.state(j.ID)).To(Equal(record.Completed))
 		w.send(plan.JobMsg{Job: w.jobs[j.ID]})
 		w.run(4 * time.Second)
-		Expect(w.problems).To(BeEmpty())
+		Expect(w.Problems()).To(BeEmpty())
 		Expect(w.state(j.ID)).To(Equal(record.Completed))
 	})
 
@@ -81,14 +81,14 @@
 		j := job(1, "long", step(1, 1))
 		w.submit(j)
 		w.run(time.Second)
-		for id, f := range w.workers {
-			if len(f.runs) > 0 {
-				f.dead = true
+		for _, id := range w.IDs() {
+			if f := w.Worker(id); f.Running() > 0 {
+				f.Dead = true
 				w.send(plan.WorkersMsg{Gone: []string{id}})
 			}
 		}
 		w.run(12 * time.Second)
-		Expect(w.problems).To(BeEmpty())
+		Expect(w.Problems()).To(BeEmpty())
 		Expect(w.state(j.ID)).To(Equal(record.Completed))
 	})
 
@@ -96,28 +96,28 @@
 	// successor finds the ends of several attempts at once.
 	It("counts failures that an earlier leader saw and could not store", func() {
 		w := newWorld(1, 12)
-		w.fails = func(plan.TaskID, *fakeWorker) bool { return true }
+		w.fails = func(plan.TaskID, string) bool { return true }
 		w.work = func(plan.TaskID) time.Duration { return 3 * time.Second }
 		w.run(100 * time.Millisecond)
 		w.storeDown = true
 		j := job(1, "long", step(1, 1))
 		w.submit(j)
 		w.run(7 * time.Second)
-		Expect(w.failures).To(BeEmpty())
+		Expect(w.Failures(plan.TaskID{Job: j.ID})).To(BeZero())
 		w.storeDown = false
 		// The run at work is found before the ends of the earlier ones.
-		for _, f := range w.workers {
-			f.cut = len(f.ended) > 0
+		for _, id := range w.IDs() {
+			w.Worker(id).Cut = w.Worker(id).Unacknowledged() > 0
 		}
 		w.lead()
 		w.run(300 * time.Millisecond)
-		for _, f := range w.workers {
-			f.cut = false
+		for _, id := range w.IDs() {
+			w.Worker(id).Cut = false
 		}
 		w.run(15 * time.Second)
-		Expect(w.problems).To(BeEmpty())
+		Expect(w.Problems()).To(BeEmpty())
 		Expect(w.state(j.ID)).To(Equal(record.Failed))
-		Expect(w.starts[plan.TaskID{Job: j.ID}]).To(Equal(3))
+		Expect(w.Starts(plan.TaskID{Job: j.ID})).To(Equal(3))
 	})
 
 	// A leader that was taken over goes on until it hears of it, and reads the
@@ -127,18 +127,16 @@
 		w.run(100 * time.Millisecond)
 		// The successor hears some workers before it hears of those on which
 		// the earlier leader starts the job.
-		for id, f := range w.workers {
-			if id < "worker-06" {
-				f.slowLook = 300 * time.Millisecond
-			}
+		for _, id := range w.IDs()[:6] {
+			w.Worker(id).SlowLook = 300 * time.Millisecond
 		}
 		w.leadToo()
 		w.run(10 * time.Millisecond)
 		j := job(1, "urgent", gangStep(3, 4))
 		w.submit(j)
 		w.run(5 * time.Second)
-		Expect(w.problems).To(BeEmpty())
+		Expect(w.Problems()).To(BeEmpty())
 		Expect(w.state(j.ID)).To(Equal(record.Completed))
-		Expect(w.starts[plan.TaskID{Job: j.ID}]).To(Equal(1))
+		Expect(w.Starts(plan.TaskID{Job: j.ID})).To(Equal(1))
 	})
 })
--- /dev/null
+++ b/internal/fakes/crew/worker.go
@@ -0,0 +1,383 @@
+package crew
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rattanshore/rattanshore/internal/core/plan"
+	"github.com/rattanshore/rattanshore/internal/wire/record"
+)
+
+// Worker is one life of a worker.
+type Worker struct {
+	Entry plan.Worker
+	// Cut workers answer nothing, dead ones are gone, hanging ones get nothing
+	// done.
+	Cut, Dead, Hangs bool
+	// SlowBy is how many times longer work takes here; 0 is as usual.
+	SlowBy int
+	// SlowLook delays looks on their way.
+	SlowLook time.Duration
+
+	fence  int64
+	lease  time.Time
+	runs   map[plan.TaskID]*run
+	high   map[plan.TaskID]int
+	ended  []plan.EndReport
+	number int64
+	// endedAt is when each end came about, lapsedAt when the lease last ran out.
+	endedAt  map[int64]time.Time
+	lapsedAt time.Time
+	looks    []func()
+}
+
+type run struct {
+	task     plan.TaskID
+	attempt  int
+	need     record.Amount
+	total    time.Duration
+	begun    time.Time
+	working  bool
+	stopping bool
+	// finished is set when the run has done its own part of a gang.
+	finished bool
+}
+
+// Running returns how many runs the worker has.
+func (w *Worker) Running() int {
+	return len(w.runs)
+}
+
+// Unacknowledged returns how many ends the worker still lists.
+func (w *Worker) Unacknowledged() int {
+	return len(w.ended)
+}
+
+func (w *Worker) sorted() []*run {
+	runs := slices.Collect(maps.Values(w.runs))
+	slices.SortFunc(runs, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Step, b.task.Step),
+			cmp.Compare(a.task.Index, b.task.Index), cmp.Compare(a.task.Occurrence, b.task.Occurrence))
+	})
+	return runs
+}
+
+func (w *Worker) hasRoom(need record.Amount) bool {
+	free := w.Entry.Capacity
+	for _, r := range w.runs {
+		free.MilliCores -= r.need.MilliCores
+		free.MemoryMB -= r.need.MemoryMB
+		free.Accelerators -= r.need.Accelerators
+	}
+	return need.MilliCores <= free.MilliCores && need.MemoryMB <= free.MemoryMB && need.Accelerators <= free.Accelerators
+}
+
+// Start carries out an order to start.
+func (c *Crew) Start(cmd plan.StartCmd) plan.StartMsg {
+	w, now := c.workers[cmd.Worker], c.clock.Now()
+	msg := plan.StartMsg{
+		Worker: cmd.Worker, Task: cmd.Task, Attempt: cmd.Attempt, SentAt: now, Clock: now, Outcome: plan.Started,
+	}
+	switch {
+	case w.Dead:
+		msg.Outcome = plan.Unanswered
+	case cmd.Epoch < w.fence:
+		msg.Outcome = plan.Fenced
+	case !cmd.LeaseUntil.After(now):
+		msg.Outcome = plan.Expired
+	}
+	if msg.Outcome != plan.Started {
+		return msg
+	}
+	w.fence = cmd.Epoch
+	if cmd.LeaseUntil.After(w.lease) {
+		w.lease = cmd.LeaseUntil
+	}
+	if r := w.runs[cmd.Task]; r != nil && r.attempt == cmd.Attempt {
+		return msg
+	}
+	job, known := c.jobs.Job(cmd.Task.Job)
+	switch {
+	case !known || cmd.Task.Step >= len(job.Steps):
+		c.Problem("%v was never submitted", cmd.Task)
+		msg.Outcome = plan.Invalid
+	case w.high[cmd.Task] >= cmd.Attempt:
+		msg.Outcome = plan.Outdated
+	case !w.hasRoom(job.Steps[cmd.Task.Step].Need):
+		msg.Outcome = plan.NoRoom
+	default:
+		c.Note("%s starts %v attempt %d", w.Entry.ID, cmd.Task, cmd.Attempt)
+		c.judgeStart(cmd, job)
+		c.start(w, cmd, job.Steps[cmd.Task.Step])
+	}
+	return msg
+}
+
+func (c *Crew) start(w *Worker, cmd plan.StartCmd, step record.Step) {
+	total := c.jobs.Work(cmd.Task) * time.Duration(max(1, w.SlowBy))
+	r := &run{task: cmd.Task, attempt: cmd.Attempt, need: step.Need, total: total}
+	w.runs[cmd.Task] = r
+	if !step.Gang || step.Tasks < 2 {
+		c.begin(w, r)
+		return
+	}
+	members := c.members(r)
+	if members.count == step.Tasks {
+		for other, runs := range members.byWorker {
+			for _, o := range runs {
+				c.begin(other, o)
+			}
+		}
+		return
+	}
+	c.clock.After(GangWait, func() {
+		if w.runs[r.task] == r && !r.working {
+			c.end(w, r, plan.EndAlone)
+		}
+	})
+}
+
+// judgeStart notes what must not be started.
+func (c *Crew) judgeStart(cmd plan.StartCmd, job record.Job) {
+	if c.noted[cmd.Task] {
+		c.Problem("%v started again after it was done", cmd.Task)
+	}
+	for _, w := range c.workers {
+		if w.runs[cmd.Task] != nil && !w.Dead {
+			c.Problem("%v started at %s while it runs at %s", cmd.Task, cmd.Worker, w.Entry.ID)
+		}
+	}
+	if c.failures[cmd.Task] >= c.jobs.MaxAttempts(job) {
+		c.Problem("%v started after %d failures", cmd.Task, c.failures[cmd.Task])
+	}
+	for _, a := range job.Steps[cmd.Task.Step].After {
+		for i := range job.Steps[a].Tasks {
+			t := plan.TaskID{Job: job.ID, Occurrence: cmd.Task.Occurrence, Step: a, Index: i}
+			if !c.IsDone(t, job.Steps[a]) {
+				c.Problem("%v started before %v was done", cmd.Task, t)
+			}
+		}
+	}
+	now := c.clock.Now()
+	c.lastStart[cmd.Task] = now
+	c.starts[cmd.Task]++
+	if _, ok := c.firstStart[job.ID]; !ok {
+		c.firstStart[job.ID] = now
+	}
+}
+
+// memberList is the runs of one attempt of a gang.
+type memberList struct {
+	byWorker map[*Worker][]*run
+	count    int
+}
+
+// members returns the runs of r's gang that are not being stopped.
+func (c *Crew) members(r *run) memberList {
+	list := memberList{byWorker: map[*Worker][]*run{}}
+	for _, w := range c.workers {
+		for _, o := range w.runs {
+			same := o.task.Job == r.task.Job && o.task.Step == r.task.Step && o.task.Occurrence == r.task.Occurrence
+			if same && o.attempt == r.attempt && !o.stopping {
+				list.byWorker[w] = append(list.byWorker[w], o)
+				list.count++
+			}
+		}
+	}
+	return list
+}
+
+func (c *Crew) begin(w *Worker, r *run) {
+	r.working = true
+	r.begun = c.clock.Now()
+	if w.Hangs {
+		return
+	}
+	c.clock.After(r.total, func() {
+		if w.Dead || w.runs[r.task] != r || r.stopping || w.Hangs {
+			return
+		}
+		r.finished = true
+		switch {
+		case !c.allFinished(r):
+		case c.jobs.Fails(r.task, w.Entry.ID):
+			c.end(w, r, plan.EndFailed)
+		default:
+			c.end(w, r, plan.EndDone)
+		}
+	})
+}
+
+// allFinished reports whether every member of a run's gang has done its part.
+func (c *Crew) allFinished(r *run) bool {
+	job, _ := c.jobs.Job(r.task.Job)
+	step := job.Steps[r.task.Step]
+	if !step.Gang || step.Tasks < 2 {
+		return true
+	}
+	finished := 0
+	for _, runs := range c.members(r).byWorker {
+		for _, o := range runs {
+			if o.finished {
+				finished++
+			}
+		}
+	}
+	return finished == step.Tasks
+}
+
+// end ends a run, and with it the other members of its gang.
+func (c *Crew) end(w *Worker, r *run, kind plan.EndKind) {
+	c.Note("%s ends %v attempt %d kind %d", w.Entry.ID, r.task, r.attempt, kind)
+	delete(w.runs, r.task)
+	w.high[r.task] = max(w.high[r.task], r.attempt)
+	w.number++
+	w.endedAt[w.number] = c.clock.Now()
+	w.ended = append(w.ended, plan.EndReport{Number: w.number, Task: r.task, Attempt: r.attempt, Kind: kind})
+	if kind == plan.EndDone {
+		c.done[r.task]++
+	}
+	others := plan.EndBroken
+	if kind == plan.EndDone {
+		others = plan.EndDone
+	}
+	c.breakGang(r, others)
+	looks := w.looks
+	w.looks = nil
+	for _, answer := range looks {
+		answer()
+	}
+}
+
+// breakGang ends the other members of a run's gang.
+func (c *Crew) breakGang(r *run, kind plan.EndKind) {
+	job, _ := c.jobs.Job(r.task.Job)
+	step := job.Steps[r.task.Step]
+	if !step.Gang || step.Tasks < 2 {
+		return
+	}
+	for w, runs := range c.members(r).byWorker {
+		for _, o := range runs {
+			if o.working && !w.Dead && w.runs[o.task] == o {
+				c.end(w, o, kind)
+			}
+		}
+	}
+}
+
+// Stop carries out an order to stop.
+func (c *Crew) Stop(cmd plan.StopCmd) plan.StopMsg {
+	w := c.workers[cmd.Worker]
+	msg := plan.StopMsg{Worker: cmd.Worker, Task: cmd.Task, Attempt: cmd.Attempt, SentAt: c.clock.Now()}
+	if w.Dead {
+		return msg
+	}
+	if cmd.Epoch < w.fence {
+		msg.Fenced = true
+		return msg
+	}
+	w.fence = cmd.Epoch
+	msg.Answered = true
+	w.high[cmd.Task] = max(w.high[cmd.Task], cmd.Attempt)
+	r := w.runs[cmd.Task]
+	if r == nil || r.attempt > cmd.Attempt || r.stopping {
+		return msg
+	}
+	r.stopping = true
+	c.clock.After(StopDelay, func() {
+		if w.runs[cmd.Task] == r && !w.Dead {
+			c.end(w, r, plan.EndStopped)
+		}
+	})
+	return msg
+}
+
+// Look carries out a look. reply may be called later; it is not called if the
+// worker ends or is cut off before.
+func (c *Crew) Look(cmd plan.LookCmd, reply func(plan.LookMsg)) {
+	w, sentAt := c.workers[cmd.Worker], c.clock.Now()
+	msg := plan.LookMsg{Worker: cmd.Worker, SentAt: sentAt, Acknowledged: cmd.Acknowledged}
+	if w.Dead {
+		return
+	}
+	if cmd.Epoch < w.fence {
+		msg.Fenced = true
+		reply(msg)
+		return
+	}
+	w.fence = cmd.Epoch
+	if cmd.LeaseUntil.After(w.lease) {
+		w.lease = cmd.LeaseUntil
+	}
+	c.acknowledge(w, cmd.Acknowledged)
+	answered := false
+	answer := func() {
+		if answered || w.Dead || w.Cut {
+			return
+		}
+		answered = true
+		now := c.clock.Now()
+		msg.Answered, msg.Born, msg.Clock = true, w.Entry.Born, now
+		msg.Ended = slices.Clone(w.ended)
+		for _, r := range w.sorted() {
+			msg.Running = append(msg.Running, plan.RunReport{Task: r.task, Attempt: r.attempt, Percent: w.percent(now, r)})
+		}
+		reply(msg)
+	}
+	if cmd.Wait == 0 || len(w.ended) > 0 {
+		answer()
+		return
+	}
+	w.looks = append(w.looks, answer)
+	c.clock.After(cmd.Wait, answer)
+}
+
+func (w *Worker) percent(now time.Time, r *run) int {
+	if !r.working || w.Hangs {
+		return 0
+	}
+	return min(100, int(100*now.Sub(r.begun)/max(r.total, 1)))
+}
+
+// acknowledge lets a worker forget ends. An end that is acknowledged without
+// its worker's lease having run out since stands for good.
+func (c *Crew) acknowledge(w *Worker, number int64) {
+	w.ended = slices.DeleteFunc(w.ended, func(e plan.EndReport) bool {
+		if e.Number > number {
+			return false
+		}
+		at := w.endedAt[e.Number]
+		if w.lapsedAt.After(at) {
+			return true
+		}
+		switch e.Kind {
+		case plan.EndDone:
+			c.noteDone(e.Task, at)
+		case plan.EndFailed:
+			c.noteFailure(e.Task, at)
+		case plan.EndStopped, plan.EndLapsed, plan.EndBroken, plan.EndAlone:
+		}
+		return true
+	})
+}
+
+func (c *Crew) noteDone(t plan.TaskID, at time.Time) {
+	c.noted[t] = true
+	if c.lastStart[t].After(at) {
+		c.Problem("%v was started again after it had ended done at %v", t, at.Sub(c.origin))
+	}
+}
+
+// noteFailure judges that no task was started after its last failure.
+func (c *Crew) noteFailure(t plan.TaskID, at time.Time) {
+	c.failures[t]++
+	if at.After(c.lastFailure[t]) {
+		c.lastFailure[t] = at
+	}
+	job, _ := c.jobs.Job(t.Job)
+	if c.failures[t] >= c.jobs.MaxAttempts(job) && c.lastStart[t].After(c.lastFailure[t]) {
+		c.Problem("%v was started after %d failures", t, c.failures[t])
+	}
+}
