--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,66 @@
+package soak_test
+
+import (
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rattanshore/rattanshore/soak"
+)
+
+var (
+	first  = flag.Uint64("soak-seed", 1, "the first seed")
+	seeds  = flag.Int("soak-seeds", 1, "how many seeds")
+	faults = flag.Duration("soak-faults", 8*time.Second, "for how long faults are injected")
+	keep   = flag.String("soak-keep", "", "where logs are kept")
+)
+
+// firstPort is where the hosts' ports begin; each seed has its own.
+const (
+	firstPort    = 21000
+	portsPerSeed = 30
+)
+
+// TestSoak injects random faults into real processes, seed by seed.
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "rattanshore")
+	build := exec.Command("go", "build", "-o", binary, "../cmd/rattanshore")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		report, err := soak.Run(t.Context(), soak.Options{
+			Seed: seed, Binary: binary, Dir: logs(t), Hosts: 3, Workers: 12, Faults: *faults,
+			Settle: 40 * time.Second, FirstPort: uint16(firstPort + seed%100*portsPerSeed),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("seed %d: %d accepted, %d refused, %d completed", seed, report.Accepted, report.Refused, report.Completed)
+		for _, p := range report.Problems {
+			t.Errorf("seed %d: %s", seed, p)
+		}
+		if report.Completed == 0 {
+			t.Errorf("seed %d: no job was completed", seed)
+		}
+		if t.Failed() {
+			for _, f := range report.Faults {
+				t.Log(f)
+			}
+		}
+	}
+}
+
+func logs(t *testing.T) string {
+	if *keep == "" {
+		return t.TempDir()
+	}
+	if err := os.MkdirAll(*keep, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	return *keep
+}
