--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -139,4 +139,22 @@
 		Expect(w.state(j.ID)).To(Equal(record.Completed))
 		Expect(w.Starts(plan.TaskID{Job: j.ID})).To(Equal(1))
 	})
+
+	// A worker that was idle for long holds no lease while a new placement waits
+	// for a slow store.
+	It("keeps its places while they are being stored", func() {
+		w := newWorld(1, 12)
+		w.run(100 * time.Millisecond)
+		w.submit(job(1, "long", gangStep(4, 8)))
+		w.run(15 * time.Second)
+		w.storeDown = true
+		j := job(2, "urgent", gangStep(4, 8))
+		w.submit(j)
+		w.run(time.Second)
+		w.storeDown = false
+		w.run(5 * time.Second)
+		Expect(w.Problems()).To(BeEmpty())
+		Expect(w.state(j.ID)).To(Equal(record.Completed))
+		Expect(w.progress[j.ID].Attempt).To(Equal(1))
+	})
 })
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -399,9 +399,12 @@
 			continue
 		}
 		for _, r := range w.sorted() {
-			m.dropRun(now, r, "the lease at its worker has run out")
+			// A run that is still being stored was never sent.
+			if r.phase != recording {
+				m.dropRun(now, r, "the lease at its worker has run out")
+			}
 		}
-		if !w.listed {
+		if !w.listed && len(w.runs) == 0 {
 			m.forget(w)
 			return
 		}
