--- /dev/null
+++ b/internal/edge/fleet/host_test.go
@@ -0,0 +1,197 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/rattanshore/rattanshore/internal/core/rules"
+	"github.com/rattanshore/rattanshore/internal/edge/clock"
+	"github.com/rattanshore/rattanshore/internal/edge/fleet"
+	"github.com/rattanshore/rattanshore/internal/edge/store"
+	"github.com/rattanshore/rattanshore/internal/ops/metrc"
+	"github.com/rattanshore/rattanshore/internal/ops/setng"
+	"github.com/rattanshore/rattanshore/internal/wire/record"
+	"github.com/rattanshore/rattanshore/platform"
+	"github.com/rattanshore/rattanshore/platform/stand"
+)
+
+// callTimeout bounds a call of the tests.
+const callTimeout = 2 * time.Second
+
+// member is a host in the test's own process.
+type member struct {
+	callers netip.AddrPort
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+func startHost(p *stand.Platform, name string) *member {
+	settings := setng.DefaultFleet()
+	settings.Host = setng.Host{ID: name, Domain: "hall-a"}
+	settings.Listen = setng.FleetListen{Callers: freePort(), Ready: freePort(), Peers: freePort()}
+	settings.Store = p.Address()
+	settings.Timing.DrainNotice = 50 * time.Millisecond
+	settings.Timing.KeyAge = 2 * time.Second
+	log, meter, steady := zerolog.Nop(), metrc.NewFleet(), clock.New()
+	rows := store.NewClient(platform.NewStore(settings.Store), meter)
+	h := fleet.New(settings, &log, meter, steady.Now, rows, platform.NewWorkers(steady.Now), platform.NewDirectory(rows))
+	ingress := platform.NewIngress(h.Front(), steady.Now)
+	ctx, stop := context.WithCancel(context.Background())
+	m := &member{callers: settings.Listen.Callers, stop: stop, done: make(chan struct{})}
+	go func() {
+		defer GinkgoRecover()
+		defer close(m.done)
+		Expect(h.Run(ctx, ingress, http.HandlerFunc(ingress.Ready))).To(Succeed())
+	}()
+	DeferCleanup(func() {
+		stop()
+		Eventually(m.done, 10*time.Second).Should(BeClosed())
+	})
+	return m
+}
+
+func freePort() netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+var queue = rules.Queue{
+	Name: "quotes", Host: "desk.example", Prefix: "/quotes/", Target: "bells",
+	Stretch: 2, Objective: time.Second, Timeout: 3 * time.Second,
+}
+
+func newJob(p *stand.Platform, number int) record.Job {
+	job := record.Job{ID: fmt.Sprintf("%016x", number), Payload: "bell", Steps: []record.Step{{
+		Tasks: 3, Gang: true, EstimateMillis: 300, Need: record.Amount{MilliCores: 1000, MemoryMB: 100, Accelerators: 2},
+	}}}
+	p.Expect(job)
+	return job
+}
+
+var _ = Describe("hosts on the platform", func() {
+	var (
+		p      *stand.Platform
+		caller stand.Caller
+		ctx    context.Context
+	)
+	configure := func(version int64, keys ...string) {
+		p.Configure(rules.Config{
+			Version: version, Queues: []rules.Queue{queue}, Targets: []rules.Target{{Name: "bells", Guards: true}},
+			Teams: []rules.Team{{Name: "parish", Keys: keys, Guaranteed: 8}},
+		})
+	}
+	submit := func(m *member, job record.Job) int {
+		status, _ := caller.Call(ctx, m.callers, http.MethodPost, job.ID, stand.Submission(job), callTimeout)
+		return status
+	}
+	state := func(m *member, id string) func() string {
+		return func() string {
+			s, _ := caller.State(ctx, m.callers, id, callTimeout)
+			return s
+		}
+	}
+
+	BeforeEach(func() {
+		var err error
+		p, err = stand.New(1, 300*time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(p.Close)
+		ctx = context.Background()
+		caller = stand.Caller{Queue: queue, Key: "key-1", HTTP: &http.Client{}}
+		configure(1, "key-1")
+		Expect(p.AddWorkers(6, "bells", "hall-a", "hall-b")).To(Succeed())
+	})
+
+	AfterEach(func() {
+		p.Do(func() { Expect(p.Crew.Problems()).To(BeEmpty()) })
+	})
+
+	It("run a job and show it as completed on every host", func() {
+		one, two := startHost(p, "one"), startHost(p, "two")
+		job := newJob(p, 1)
+		Eventually(func() int { return submit(one, job) }, 5*time.Second).Should(Equal(http.StatusOK))
+		Eventually(state(two, job.ID), 5*time.Second).Should(Equal("completed"))
+		Expect(submit(two, job)).To(Equal(http.StatusOK), "the same job again")
+	})
+
+	It("refuse what they cannot store, and it never runs", func() {
+		one := startHost(p, "one")
+		Eventually(func() int { return submit(one, newJob(p, 1)) }, 5*time.Second).Should(Equal(http.StatusOK))
+		p.Store.SetFaults(stand.StoreFaults{Refuse: true})
+		job := newJob(p, 2)
+		Expect(submit(one, job)).To(Equal(http.StatusServiceUnavailable))
+		p.Store.SetFaults(stand.StoreFaults{})
+		Consistently(func() bool {
+			started := false
+			p.Do(func() { _, started = p.Crew.FirstStart(job.ID) })
+			return started
+		}, time.Second).Should(BeFalse())
+	})
+
+	It("accept no key under a configuration that may be out of date", func() {
+		one := startHost(p, "one")
+		Eventually(func() int { return submit(one, newJob(p, 1)) }, 5*time.Second).Should(Equal(http.StatusOK))
+		p.Store.SetFaults(stand.StoreFaults{Silent: true})
+		Eventually(func() int {
+			status, _ := caller.Call(ctx, one.callers, http.MethodGet, "", nil, 300*time.Millisecond)
+			return status
+		}, 4*time.Second).Should(Equal(http.StatusServiceUnavailable))
+		p.Store.SetFaults(stand.StoreFaults{})
+	})
+
+	It("refuse a key soon after it was taken away", func() {
+		one := startHost(p, "one")
+		Eventually(func() int { return submit(one, newJob(p, 1)) }, 5*time.Second).Should(Equal(http.StatusOK))
+		configure(2, "key-2")
+		Eventually(func() int { return submit(one, newJob(p, 2)) }, 2*time.Second).Should(Equal(http.StatusUnauthorized))
+	})
+
+	It("hand the lead over at a planned stop", func() {
+		one := startHost(p, "one")
+		Eventually(func() int { return submit(one, newJob(p, 1)) }, 5*time.Second).Should(Equal(http.StatusOK))
+		two := startHost(p, "two")
+		Eventually(func() int { return submit(two, newJob(p, 2)) }, 5*time.Second).Should(Equal(http.StatusOK))
+		one.stop()
+		Eventually(one.done, 8*time.Second).Should(BeClosed())
+		job := newJob(p, 3)
+		Expect(submit(two, job)).To(Equal(http.StatusOK))
+		Eventually(state(two, job.ID), 4*time.Second).Should(Equal("completed"))
+	})
+
+	It("start nothing in a failure domain that is out of service", func() {
+		one := startHost(p, "one")
+		p.Evacuate("hall-a", true)
+		job := newJob(p, 1)
+		Eventually(func() int { return submit(one, job) }, 5*time.Second).Should(Equal(http.StatusOK))
+		Consistently(state(one, job.ID), time.Second).ShouldNot(Equal("completed"))
+		p.Evacuate("hall-a", false)
+		Eventually(state(one, job.ID), 5*time.Second).Should(Equal("completed"))
+	})
+
+	It("refuse bad bodies and identifiers", func() {
+		one := startHost(p, "one")
+		Eventually(func() int { return submit(one, newJob(p, 1)) }, 5*time.Second).Should(Equal(http.StatusOK))
+		for _, body := range []any{
+			"text", map[string]any{"steps": "none"},
+			map[string]any{"steps": []any{map[string]any{"count": -1}}},
+			map[string]any{"steps": []any{map[string]any{"count": 1, "after": []int{4}}}},
+			map[string]any{"steps": []any{map[string]any{"count": 1, "after": []int{1}}, map[string]any{"count": 1, "after": []int{0}}}},
+		} {
+			status, _ := caller.Call(ctx, one.callers, http.MethodPost, "00000000000000aa", body, callTimeout)
+			Expect(status).To(Equal(http.StatusBadRequest), "%v", body)
+		}
+		good := stand.Submission(newJob(p, 9))
+		status, _ := caller.Call(ctx, one.callers, http.MethodPost, "short", good, callTimeout)
+		Expect(status).To(Equal(http.StatusBadRequest))
+	})
+})
--- a/internal/ops/verbs/serve.go
+++ b/internal/ops/verbs/serve.go
@@ -68,18 +68,30 @@
 }
 
 func (a *app) configCheck() *cobra.Command {
-	return &cobra.Command{
+	var onFleet bool
+	cmd := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a settings file and do nothing else",
 		Args:  exactly(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			if _, err := setng.Load(args[0], os.Getenv); err != nil {
+			if err := checkSettings(args[0], onFleet); err != nil {
 				return err
 			}
 			_, err := fmt.Fprintf(a.out, "%s is valid\n", args[0])
 			return err
 		},
 	}
+	cmd.Flags().BoolVar(&onFleet, "fleet", false, "the file is of a host that serves with --fleet")
+	return cmd
+}
+
+func checkSettings(file string, onFleet bool) error {
+	if onFleet {
+		_, err := setng.LoadFleet(file)
+		return err
+	}
+	_, err := setng.Load(file, os.Getenv)
+	return err
 }
 
 func (a *app) configPrint() *cobra.Command {
