--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -76,7 +76,6 @@
 	gangs   []*gang
 	open    map[stepKey]int
 	attempt int
-	adopted bool
 	// started is set once a gang was placed, atWork once one was seen at work.
 	started bool
 	atWork  bool
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -9,15 +9,6 @@
 	"github.com/rattanshore/rattanshore/internal/wire/record"
 )
 
-const (
-	// clockDrift is how much slower than true a worker's clock may be.
-	clockDrift = 0.02
-	// clockMargin covers what a clock reading is rounded by.
-	clockMargin = 20 * time.Millisecond
-	// benchLimit is the longest time a worker is kept out of use at once.
-	benchLimit = 30 * time.Second
-)
-
 // worker is a worker with what the planner knows of it.
 type worker struct {
 	Worker
@@ -97,16 +88,6 @@
 	m.sortWorkers()
 }
 
-// inheritedLease returns when every lease from earlier leaders has run out.
-func (m *Model) inheritedLease(now time.Time) time.Time {
-	return later(now, m.takenAt.Add(m.longestLease()))
-}
-
-// longestLease returns how long any lease may last on a slow clock.
-func (m *Model) longestLease() time.Duration {
-	return time.Duration(float64(m.timing.LongestLease)*(1+clockDrift)) + clockMargin
-}
-
 func (m *Model) setWorkers(now time.Time, msg WorkersMsg) {
 	listed := make(map[string]bool, len(msg.Changed))
 	moved := false
@@ -139,27 +120,31 @@
 		w.inheritedUntil = m.takenAt
 		m.workers[entry.ID] = w
 	}
-	if known && !entry.Born.IsZero() && entry.Born.Before(w.Born) {
+	if entry.Born.IsZero() {
+		entry.Born = w.Born
+	}
+	if entry.Born.Before(w.Born) {
 		return false
 	}
-	if known && !w.Born.IsZero() && entry.Born.After(w.Born) {
+	if !w.Born.IsZero() && entry.Born.After(w.Born) {
 		m.reborn(now, w)
 	}
 	before, listed := w.Worker, w.listed
-	w.Worker = entry
+	w.Worker, w.listed = entry, true
 	if entry.Draining && !before.Draining {
 		w.leavesAt = now.Add(entry.Remaining)
 	}
-	if entry.Born.IsZero() {
-		w.Born = before.Born
-	}
-	w.listed = true
-	if !known || !listed || before.Draining != entry.Draining || before.Capacity != entry.Capacity {
+	if !listed || before.Draining != entry.Draining || before.Capacity != entry.Capacity {
 		w.recount()
 		m.changed = true
 		m.touched = append(m.touched, w)
 	}
-	return !known || before.Target != entry.Target || before.Domain != entry.Domain || before.Rack != entry.Rack
+	return !listed || before.liesElsewhere(entry)
+}
+
+// liesElsewhere reports whether two entries of a worker differ in where it is.
+func (w Worker) liesElsewhere(other Worker) bool {
+	return w.Target != other.Target || w.Domain != other.Domain || w.Rack != other.Rack
 }
 
 // unlist takes in that the worker's entry is gone. What it runs goes on while
@@ -259,175 +244,3 @@
 		return true
 	}
 }
-
-// leaseFor returns the deadline on the worker's clock that a renewal sent now
-// asks for.
-func (m *Model) leaseFor(now time.Time, w *worker) time.Time {
-	return w.clock.Add(now.Sub(w.clockAt)).Add(m.timing.Lease)
-}
-
-// leaseOver reports whether every lease that the worker may hold has run out
-// even if its clock is slow.
-func (w *worker) leaseOver(now time.Time) bool {
-	if now.Before(w.inheritedUntil) {
-		return false
-	}
-	if w.leaseUntil.IsZero() {
-		return true
-	}
-	passed := time.Duration(float64(now.Sub(w.clockAt)) * (1 - clockDrift))
-	return w.clock.Add(passed).After(w.leaseUntil.Add(clockMargin))
-}
-
-// heardClock takes in a reading of the worker's clock that cannot be from
-// before sentAt.
-func (w *worker) heardClock(now time.Time, clock time.Time) {
-	if clock.IsZero() {
-		return
-	}
-	if clock.After(w.clock) {
-		w.clock = clock
-		w.clockAt = now
-	}
-}
-
-// lookAtWorkers sends each of the workers whose turn it is a look.
-func (m *Model) lookAtWorkers(now time.Time, workers []*worker) {
-	if !m.loaded {
-		return
-	}
-	for _, w := range workers {
-		if w.looking || now.Before(w.nextLook) || !w.Address.IsValid() {
-			continue
-		}
-		m.look(now, w)
-	}
-}
-
-// lookSoon has the worker looked at when its present look has ended.
-func (m *Model) lookSoon(now time.Time, w *worker) {
-	w.nextLook = earlier(w.nextLook, now)
-	m.touched = append(m.touched, w)
-}
-
-func (m *Model) look(now time.Time, w *worker) {
-	unacked := w.durable > w.acked
-	switch {
-	case !w.heard && (w.listed || now.Before(w.inheritedUntil)):
-	case len(w.runs) > 0, unacked:
-	default:
-		return
-	}
-	cmd := LookCmd{Worker: w.ID, Address: w.Address, Epoch: m.epoch, Acknowledged: w.durable}
-	if len(w.runs) > 0 && w.heard && w.askedAt.IsZero() {
-		// A worker that has not answered gets no longer lease, so that what it
-		// runs is known to be over at some time.
-		cmd.LeaseUntil = m.leaseFor(now, w)
-		w.leaseUntil = later(w.leaseUntil, cmd.LeaseUntil)
-		cmd.Wait = m.timing.LookWait
-	}
-	if w.seen > w.durable {
-		cmd.Wait = 0
-	}
-	w.looking = true
-	w.asked(now)
-	m.emit(cmd)
-}
-
-// asked notes that a call was sent.
-func (w *worker) asked(now time.Time) {
-	if w.askedAt.IsZero() {
-		w.askedAt = now
-	}
-}
-
-// answered notes that a call was answered.
-func (w *worker) answered() {
-	w.askedAt = time.Time{}
-}
-
-func (m *Model) lookEnded(now time.Time, msg LookMsg) {
-	w, ok := m.workers[msg.Worker]
-	if !ok {
-		return
-	}
-	w.looking = false
-	switch {
-	case msg.Fenced:
-		m.emit(DeposedCmd{})
-		return
-	case msg.Replaced:
-		m.replaced(now, w)
-		return
-	case !msg.Answered, !msg.Born.IsZero() && msg.Born.Before(w.Born):
-		w.nextLook = now.Add(m.timing.LookRetry)
-		return
-	}
-	w.nextLook = now
-	m.touched = append(m.touched, w)
-	w.answered()
-	w.lookedAt = msg.SentAt
-	w.avoidTill = time.Time{}
-	if !msg.Born.IsZero() && msg.Born.After(w.Born) {
-		if !w.Born.IsZero() {
-			m.reborn(now, w)
-		}
-		w.Born = msg.Born
-	}
-	w.heardClock(now, msg.Clock)
-	if !w.heard {
-		w.heard = true
-		m.changed = true
-	}
-	w.acked = max(w.acked, min(msg.Acknowledged, w.seen))
-	m.reconcile(now, w, msg)
-	if w.seen > w.durable {
-		// The next look goes out as soon as these ends are stored.
-		w.nextLook = now.Add(m.timing.LookWait)
-	}
-}
-
-// expireWorkers gives up what runs on workers whose lease has surely run out,
-// and takes silent workers out of use.
-func (m *Model) expireWorkers(now time.Time) {
-	for _, w := range m.order {
-		if !w.askedAt.IsZero() && now.Sub(w.askedAt) > m.timing.Silence && now.After(w.avoidTill) {
-			w.avoidTill = now.Add(m.timing.Silence)
-			m.decide(WorkerLost, nil, w, "does not answer")
-		}
-		if !w.leaseOver(now) {
-			continue
-		}
-		for _, r := range w.sorted() {
-			// A run that is still being stored was never sent.
-			if r.phase != recording {
-				m.dropRun(now, r, "the lease at its worker has run out")
-			}
-		}
-		if !w.listed && len(w.runs) == 0 {
-			m.forget(w)
-			return
-		}
-	}
-}
-
-// benched counts a failure against the worker that reported it, and takes it
-// out of use for a while when it fails one task after the other.
-func (m *Model) benched(now time.Time, w *worker, job string) {
-	if w.lastFail == job {
-		return
-	}
-	w.lastFail = job
-	w.failures++
-	if w.failures < failuresBeforeBench {
-		return
-	}
-	pause := min(m.timing.Bench<<min(w.benches, 3), benchLimit)
-	w.benchedTo = now.Add(pause)
-	w.benches++
-	m.decide(WorkerBenched, nil, w, "fails what it starts")
-}
-
-// failuresBeforeBench is how many tasks in a row, of different jobs, a worker
-// may fail before it gets no more for a while.
-const failuresBeforeBench = 2
--- a/soak/host.go
+++ b/soak/host.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"os"
@@ -69,7 +70,7 @@
 	if h.process != nil {
 		return nil
 	}
-	cmd := exec.Command(h.binary, "serve", "--fleet", "--config", h.config)
+	cmd := exec.CommandContext(context.Background(), h.binary, "serve", "--fleet", "--config", h.config)
 	cmd.Stdout, cmd.Stderr = h.log, h.log
 	if err := cmd.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", h.name)
--- a/soak/link.go
+++ b/soak/link.go
@@ -1,7 +1,7 @@
 package soak
 
 import (
-	"io"
+	"context"
 	"net"
 	"net/netip"
 	"sync"
@@ -37,7 +37,7 @@
 }
 
 func newLink(target netip.AddrPort) (*link, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -79,7 +79,7 @@
 			_ = near.Close()
 			continue
 		}
-		far, err := net.Dial("tcp", l.target.String())
+		far, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", l.target.String())
 		if err != nil {
 			_ = near.Close()
 			continue
@@ -116,9 +116,6 @@
 				return
 			}
 		}
-		if err == io.EOF && !broken || err != nil && err != io.EOF {
-			return
-		}
 		if err != nil {
 			return
 		}
