Soak: a job after the last fault has to be accepted and completed

The log shows every call refused or silent, and hosts that were killed before the first answer. The check was wrong there; it is replaced by a stricter one for every seed. Seed 52 stays as a regression.

--- a/soak/run.go
+++ b/soak/run.go
@@ -139,6 +139,7 @@
 	}
 	callers.Wait()
 	r.heal()
+	r.probe(ctx)
 	r.settle(ctx)
 	r.judge()
 }
@@ -208,6 +209,27 @@
 	r.jobs[id].cancelled = status != http.StatusServiceUnavailable && status != http.StatusGone
 }
 
+// probeLimit is how soon after the last fault work must be accepted again.
+const probeLimit = 12 * time.Second
+
+// probe submits one more job once all faults are over. It has to be accepted,
+// and judge sees that it is completed.
+func (r *run) probe(ctx context.Context) {
+	job := record.Job{ID: "ffff000000000001", Payload: "bell", Steps: []record.Step{{
+		Tasks: 1, EstimateMillis: taskWork.Milliseconds(), Need: record.Amount{MilliCores: 1000, Accelerators: 1},
+	}}}
+	r.platform.Expect(job)
+	limit, cancel := context.WithTimeout(ctx, probeLimit)
+	defer cancel()
+	for limit.Err() == nil {
+		r.submit(limit, r.random, job)
+		if r.jobs[job.ID].accepted {
+			return
+		}
+	}
+	r.problem("no job was accepted within %v of the last fault", probeLimit)
+}
+
 // settle asks for every job until all have ended or the time is over.
 func (r *run) settle(ctx context.Context) {
 	deadline := time.Now().Add(r.options.Settle)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,8 +31,7 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	for i := range *seeds {
-		seed := *first + uint64(i)
+	for _, seed := range chosen() {
 		report, err := soak.Run(t.Context(), soak.Options{
 			Seed: seed, Binary: binary, Dir: logs(t), Hosts: 3, Workers: 12, Faults: *faults,
 			Settle: 40 * time.Second, FirstPort: uint16(firstPort + seed%100*portsPerSeed),
@@ -44,9 +43,6 @@
 		for _, p := range report.Problems {
 			t.Errorf("seed %d: %s", seed, p)
 		}
-		if report.Completed == 0 {
-			t.Errorf("seed %d: no job was completed", seed)
-		}
 		if t.Failed() {
 			for _, f := range report.Faults {
 				t.Log(f)
@@ -55,6 +51,25 @@
 	}
 }
 
+// regressions are seeds that failed once.
+//
+//   - 52: the store was away from the first fault to the last, so no job could be
+//     accepted; the check asked for one. Now a job after the last fault has to be.
+var regressions = []uint64{52}
+
+// chosen returns the seeds of this run: those asked for, or one and all that
+// ever failed.
+func chosen() []uint64 {
+	var all []uint64
+	for i := range *seeds {
+		all = append(all, *first+uint64(i))
+	}
+	if *seeds == 1 && *first == 1 {
+		all = append(all, regressions...)
+	}
+	return all
+}
+
 func logs(t *testing.T) string {
 	if *keep == "" {
 		return t.TempDir()
