--- a/internal/edge/fleet/host.go
+++ b/internal/edge/fleet/host.go
@@ -151,7 +151,12 @@
 	after, reachable := int64(0), true
 	for ctx.Err() == nil {
 		sentAt := h.clock()
-		orders, err := h.directory.Orders(ctx, after, ordersWait)
+		wait := ordersWait
+		if !reachable {
+			// A call that may wait would find out late that the store is back.
+			wait = 0
+		}
+		orders, err := h.directory.Orders(ctx, after, wait)
 		if err != nil {
 			if reachable {
 				logev.TableLost.Log(h.log).Int64("config-version", h.config.Version).Err(err).Send()
--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -181,15 +181,18 @@
 
 // followJobs sends new jobs and cancellations to the planner.
 func (s *session) followJobs(ctx context.Context, after int64) {
+	wait := changesWait
 	for ctx.Err() == nil {
-		rows, err := s.host.store.Changes(ctx, tableJobs, after, changesWait)
+		rows, err := s.host.store.Changes(ctx, tableJobs, after, wait)
 		if errors.Is(err, store.ErrHistoryGone) {
 			rows, err = store.Scan(ctx, s.host.store, tableJobs, "", "")
 		}
 		if err != nil {
+			wait = 0
 			sleep(ctx, retryPause)
 			continue
 		}
+		wait = changesWait
 		after = rows.Version
 		for _, r := range rows.Rows {
 			s.sendJob(r, nil)
@@ -205,12 +208,15 @@
 // followWorkers sends changes of the list of workers to the planner.
 func (s *session) followWorkers(ctx context.Context) {
 	var after int64
+	wait := changesWait
 	for ctx.Err() == nil {
-		msg, version, err := s.host.directory.Workers(ctx, after, changesWait)
+		msg, version, err := s.host.directory.Workers(ctx, after, wait)
 		if err != nil {
+			wait = 0
 			sleep(ctx, retryPause)
 			continue
 		}
+		wait = changesWait
 		after = version
 		if msg.Whole || len(msg.Changed) > 0 || len(msg.Gone) > 0 {
 			s.runner.Send(msg)
