--- a/internal/edge/store/retry.go
+++ b/internal/edge/store/retry.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -172,6 +173,9 @@
 	client  *Client
 	key     Key
 	version int64
+	// given is the value of a change that was given up while it was under way,
+	// so that it may have been made.
+	given []byte
 }
 
 // NewLane returns a lane on a row with its present version.
@@ -183,24 +187,31 @@
 // two changes may have the same value. It repeats the change until its outcome
 // is certain, and returns ErrFenced when another has written the row.
 func (l *Lane) Apply(ctx context.Context, change Change, value []byte) error {
-	change.Expect = append(change.Expect, Row{Key: l.key, Version: l.version})
-	change.Put = append(change.Put, Row{Key: l.key, Value: value})
+	expect, put := change.Expect, change.Put
 	t := l.client.newTries()
 	for {
+		change.Expect = append(slices.Clone(expect), Row{Key: l.key, Version: l.version})
+		change.Put = append(slices.Clone(put), Row{Key: l.key, Value: value})
 		outcome, err := l.client.transact(ctx, &t, change)
 		switch {
 		case err == nil && outcome.Made:
-			l.version = outcome.Version
+			l.version, l.given = outcome.Version, nil
 			return nil
 		case err == nil:
 			now := current(outcome, l.key)
-			if now.Version != l.version && bytes.Equal(now.Value, value) {
-				l.version = now.Version
+			switch {
+			case now.Version != l.version && bytes.Equal(now.Value, value):
+				l.version, l.given = now.Version, nil
 				return nil
+			case now.Version != l.version && l.given != nil && bytes.Equal(now.Value, l.given):
+				l.version, l.given = now.Version, nil
+				continue
+			default:
+				return ErrFenced
 			}
-			return ErrFenced
 		}
 		if t.rest(ctx) != nil {
+			l.given = value
 			return err
 		}
 	}
