--- a/internal/core/plan/cmd.go
+++ b/internal/core/plan/cmd.go
@@ -53,8 +53,9 @@
 	Progress []record.Progress
 	// Forgotten names jobs whose rows are no longer needed.
 	Forgotten []string
-	// Roster and Waiting are written when they are set.
-	Roster  *record.Roster
+	// Rosters are the parts of the roster that have changed.
+	Rosters []record.Roster
+	// Waiting is written when it is set.
 	Waiting *record.Waiting
 }
 
--- a/internal/core/plan/load_test.go
+++ b/internal/core/plan/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -141,4 +142,23 @@
 		_, started := w.FirstStart(wideJob.ID)
 		Expect(started).To(BeTrue())
 	})
+
+	// Pattern: far more workers than one row of the store can name.
+	It("thousands of workers are recorded in rows that the store takes", func() {
+		w := newWorld(1, 4300)
+		w.run(time.Second)
+		Expect(w.rosters).NotTo(BeEmpty())
+		recorded := 0
+		for _, r := range w.rosters {
+			encoded, err := cbor.Marshal(r)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(len(encoded)).To(BeNumerically("<", 65536))
+			recorded += len(r.Workers)
+		}
+		Expect(recorded).To(Equal(4300))
+		j := job(1, "urgent", gangStep(6, 8))
+		w.submit(j)
+		w.run(4 * time.Second)
+		Expect(w.state(j.ID)).To(Equal(record.Completed))
+	})
 })
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -69,25 +68,6 @@
 	return &worker{Worker: w, runs: map[TaskID]*run{}, free: w.Capacity}
 }
 
-func (m *Model) setRoster(now time.Time, entries []record.RosterEntry) {
-	for _, e := range entries {
-		if w, ok := m.workers[e.ID]; ok {
-			w.rostered = true
-			w.inheritedUntil = m.inheritedLease(now)
-			continue
-		}
-		address, err := netip.ParseAddrPort(e.Address)
-		if err != nil {
-			continue
-		}
-		w := newWorker(Worker{ID: e.ID, Address: address, Domain: e.Domain, Target: e.Target})
-		w.rostered = true
-		w.inheritedUntil = m.inheritedLease(now)
-		m.workers[e.ID] = w
-	}
-	m.sortWorkers()
-}
-
 func (m *Model) setWorkers(now time.Time, msg WorkersMsg) {
 	listed := make(map[string]bool, len(msg.Changed))
 	moved := false
@@ -162,7 +142,7 @@
 
 func (m *Model) forget(w *worker) {
 	delete(m.workers, w.ID)
-	m.write.rosterChanged = true
+	m.write.roster.dirty[rosterPart(w.ID)] = true
 	m.sortWorkers()
 }
 
--- a/internal/core/plan/world_test.go
+++ b/internal/core/plan/world_test.go
@@ -41,7 +41,7 @@
 	jobs      map[string]record.Job
 	progress  map[string]record.Progress
 	cancelled map[string]bool
-	roster    *record.Roster
+	rosters   map[int]record.Roster
 	storeDown bool
 
 	// loseAnswer is the chance that a worker's answer is lost, late the chance
@@ -88,6 +88,7 @@
 		jobs:      map[string]record.Job{},
 		progress:  map[string]record.Progress{},
 		cancelled: map[string]bool{},
+		rosters:   map[int]record.Roster{},
 		work:      func(plan.TaskID) time.Duration { return 2 * time.Second },
 		fails:     func(plan.TaskID, string) bool { return false },
 		config: rules.Config{
@@ -166,8 +167,8 @@
 	w.planners = append(w.planners, p)
 	w.sendTo(p, plan.ConfigMsg{Config: w.config})
 	w.sendTo(p, plan.WorkersMsg{Changed: w.Alive(), Whole: true})
-	if w.roster != nil {
-		w.sendTo(p, plan.RosterMsg{Workers: w.roster.Workers})
+	for _, part := range slices.Sorted(maps.Keys(w.rosters)) {
+		w.sendTo(p, plan.RosterMsg{Workers: w.rosters[part].Workers})
 	}
 	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
 		w.sendTo(p, plan.JobMsg{Job: w.jobs[id], Progress: w.progress[id]})
@@ -316,8 +317,8 @@
 			delete(w.progress, id)
 			delete(w.jobs, id)
 		}
-		if cmd.Roster != nil {
-			w.roster = cmd.Roster
+		for _, r := range cmd.Rosters {
+			w.rosters[r.Part] = r
 		}
 		reply(plan.WrittenMsg{Batch: cmd.Batch})
 	})
--- a/internal/core/plan/write.go
+++ b/internal/core/plan/write.go
@@ -9,9 +9,10 @@
 	"github.com/rattanshore/rattanshore/internal/wire/record"
 )
 
-// maxRows is the largest number of rows in one transaction; the platform takes
-// a hundred entries, some of which the lane needs.
-const maxRows = 90
+// maxRows is the largest number of jobs' rows in one transaction; the platform
+// takes a hundred entries, and the lane, the roster and the queue lengths need
+// some.
+const maxRows = 75
 
 // forgetAfter is how long an ended job is known after its rows were told to go.
 const forgetAfter = time.Minute
@@ -41,8 +42,7 @@
 
 	ackChanged     bool
 	acks           map[string]int64
-	rosterChanged  bool
-	rosterSent     map[string]bool
+	roster         rosterState
 	waitingChanged bool
 	nextWaiting    time.Time
 }
@@ -59,6 +59,7 @@
 		endedDirty: map[string]record.Progress{},
 		ended:      map[string]time.Time{},
 		forgotten:  map[string]time.Time{},
+		roster:     rosterState{dirty: map[int]bool{}},
 	}
 }
 
@@ -106,7 +107,7 @@
 	m.checkRoster()
 	due := (len(s.dirty) > 0 || len(s.endedDirty) > 0) && !now.Before(s.dueAt)
 	lengths := s.waitingChanged && !now.Before(s.nextWaiting)
-	if !due && !s.ackChanged && !s.rosterChanged && !lengths && now.Before(s.nextRenewal) {
+	if !due && !s.ackChanged && len(s.roster.dirty) == 0 && !lengths && now.Before(s.nextRenewal) {
 		return
 	}
 	s.outstanding = true
@@ -116,9 +117,7 @@
 	m.takeStarts()
 	cmd.Forgotten = m.takeForgotten(now, maxRows-len(cmd.Progress))
 	m.takeAcks()
-	if s.rosterChanged {
-		cmd.Roster = m.takeRoster()
-	}
+	cmd.Rosters = m.takeRosters()
 	if lengths {
 		s.waitingChanged = false
 		s.nextWaiting = now.Add(m.timing.WaitingInterval)
@@ -209,29 +208,6 @@
 	return ids
 }
 
-// checkRoster asks for a new roster when a worker is not in the stored one.
-func (m *Model) checkRoster() {
-	for _, w := range m.order {
-		if w.listed && !w.rostered {
-			m.write.rosterChanged = true
-			return
-		}
-	}
-}
-
-func (m *Model) takeRoster() *record.Roster {
-	m.write.rosterChanged = false
-	m.write.rosterSent = map[string]bool{}
-	roster := &record.Roster{}
-	for _, w := range m.order {
-		m.write.rosterSent[w.ID] = true
-		roster.Workers = append(roster.Workers, record.RosterEntry{
-			ID: w.ID, Address: w.Address.String(), Domain: w.Domain, Target: w.Target,
-		})
-	}
-	return roster
-}
-
 // lengths returns how many jobs of each queue have not begun.
 func (m *Model) lengths() *record.Waiting {
 	counts := map[string]int{}
@@ -261,13 +237,8 @@
 			m.lookSoon(now, w)
 		}
 	}
-	for id := range s.rosterSent {
-		if w, ok := m.workers[id]; ok && !w.rostered {
-			w.rostered = true
-			m.changed = true
-		}
-	}
-	s.acks, s.rosterSent = nil, nil
+	m.rosterStored()
+	s.acks = nil
 	for _, a := range s.toStart {
 		if a.gang.attempt == a.attempt {
 			m.start(now, a.gang)
--- a/internal/edge/fleet/rows.go
+++ b/internal/edge/fleet/rows.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -27,10 +28,20 @@
 
 var (
 	leaderKey  = store.Key{Table: tableLead, Name: "planner"}
-	rosterKey  = store.Key{Table: tableLead, Name: "roster"}
 	waitingKey = store.Key{Table: tableLead, Name: "waiting"}
 )
 
+// rosterKey returns the key of one part of the roster; the parts lie between
+// rosterFrom and rosterTo.
+func rosterKey(part int) store.Key {
+	return store.Key{Table: tableLead, Name: fmt.Sprintf("%s%02d", rosterFrom, part)}
+}
+
+const (
+	rosterFrom = "roster/"
+	rosterTo   = "roster0"
+)
+
 // cancelled returns the job that a row of the job table cancels.
 func cancelled(name string) (string, bool) {
 	return strings.CutSuffix(name, cancelSuffix)
--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return 0, err
 	}
-	roster, err := h.store.Read(ctx, rosterKey)
+	roster, err := store.Scan(ctx, h.store, tableLead, rosterFrom, rosterTo)
 	if err != nil {
 		return 0, err
 	}
@@ -123,7 +123,9 @@
 		return 0, err
 	}
 	s.runner.Send(workers)
-	s.sendRoster(roster)
+	for _, r := range roster.Rows {
+		s.sendRoster(r)
+	}
 	for _, r := range jobs.Rows {
 		s.sendJob(r, progress)
 	}
@@ -156,9 +158,6 @@
 }
 
 func (s *session) sendRoster(row store.Row) {
-	if row.Version == 0 {
-		return
-	}
 	var roster record.Roster
 	if err := decode(row.Value, &roster); err != nil {
 		logev.RowSkipped.Log(s.host.log).Str("table", row.Key.Table).Str("row", row.Key.Name).Err(err).Send()
@@ -276,8 +275,8 @@
 			return err
 		}
 	}
-	if cmd.Roster != nil {
-		if err := put(rosterKey, cmd.Roster); err != nil {
+	for _, roster := range cmd.Rosters {
+		if err := put(rosterKey(roster.Part), roster); err != nil {
 			return err
 		}
 	}
--- a/internal/edge/store/retry.go
+++ b/internal/edge/store/retry.go
@@ -118,6 +118,9 @@
 			}
 			return rows.Rows[0], nil
 		}
+		if errors.Is(err, ErrRejected) {
+			return Row{}, err
+		}
 		if t.rest(ctx) != nil {
 			return Row{}, err
 		}
@@ -141,6 +144,8 @@
 			return row, nil
 		case err == nil:
 			return current(outcome, row.Key), nil
+		case errors.Is(err, ErrRejected):
+			return Row{}, err
 		case !errors.Is(err, ErrRefused):
 			open = true
 		case !open && time.Now().After(giveUp):
@@ -209,6 +214,8 @@
 			default:
 				return ErrFenced
 			}
+		case errors.Is(err, ErrRejected):
+			return err
 		}
 		if t.rest(ctx) != nil {
 			l.given = value
--- a/internal/edge/store/store.go
+++ b/internal/edge/store/store.go
@@ -14,6 +14,8 @@
 var (
 	// ErrRefused says that the store did nothing and said so.
 	ErrRefused = errors.New("store refused the call")
+	// ErrRejected says that the store will never take the call as it is.
+	ErrRejected = errors.New("store rejected the call")
 	// ErrUnanswered says that no whole answer came. A change may have been
 	// made, or may still be made while its conditions hold.
 	ErrUnanswered = errors.New("store did not answer")
--- a/internal/wire/record/record.gen.go
+++ b/internal/wire/record/record.gen.go
@@ -129,8 +129,9 @@
 	Queue string `json:"queue"`
 }
 
-// Roster Every worker that a leader may have given work to.
+// Roster The workers that a leader may have given work to, in parts of which each fits a row.
 type Roster struct {
+	Part    int           `json:"part"`
 	Workers []RosterEntry `json:"workers"`
 }
 
