A team's guarantee is tested under force; a job's age by the planner's own clock

Test 'a team gets what it is guaranteed in time, whatever that costs': red without the force. Jobs that arrive while a host leads count their age from then, since the clocks of hosts differ by seconds; the test gives such a job a time 4 s ahead.

--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -76,6 +76,9 @@
 	gangs   []*gang
 	open    map[stepKey]int
 	attempt int
+	// since is when the job was accepted, as this planner's clock has it: hosts'
+	// clocks differ, so a row's own time is used only for jobs from before.
+	since time.Time
 	// started is set once a gang was placed, atWork once one was seen at work.
 	started bool
 	atWork  bool
@@ -109,6 +112,10 @@
 		open:    map[stepKey]int{},
 		attempt: msg.Progress.Attempt,
 	}
+	j.since = now
+	if !m.loaded {
+		j.since = earlier(now, msg.Job.SubmittedAt)
+	}
 	j.queue, _ = m.config.Queue(msg.Job.Queue)
 	j.build()
 	m.jobs[id] = j
--- a/internal/core/plan/load_test.go
+++ b/internal/core/plan/load_test.go
@@ -161,4 +161,35 @@
 		w.run(4 * time.Second)
 		Expect(w.state(j.ID)).To(Equal(record.Completed))
 	})
+
+	// Pattern: everything is taken by long work that is dear to stop, and a small
+	// urgent job of a team within its guarantee comes.
+	It("a team gets what it is guaranteed in time, whatever that costs", func() {
+		w := newWorld(1, 6)
+		w.work = func(t plan.TaskID) time.Duration {
+			if w.jobs[t.Job].Queue == "urgent" {
+				return 2 * time.Second
+			}
+			return 30 * time.Second
+		}
+		w.run(100 * time.Millisecond)
+		for i := range 3 {
+			long := gangStep(2, 8)
+			long.EstimateMillis = 30000
+			long.Need.MilliCores = 64000
+			w.submit(job(i+1, "long", long))
+		}
+		w.run(8 * time.Second)
+		small := gangStep(1, 1)
+		small.EstimateMillis = 100
+		urgent := job(10, "urgent", small)
+		// The clock of the host that accepted it is ahead.
+		urgent.SubmittedAt = w.now.Add(4 * time.Second)
+		w.jobs[urgent.ID] = urgent
+		w.send(plan.JobMsg{Job: urgent})
+		w.run(plan.DefaultTiming().Reclaim)
+		_, started := w.FirstStart(urgent.ID)
+		Expect(started).To(BeTrue())
+		Expect(w.Problems()).To(BeEmpty())
+	})
 })
--- a/internal/core/plan/preempt.go
+++ b/internal/core/plan/preempt.go
@@ -74,7 +74,7 @@
 // mustReclaim reports whether the gang's team is owed the room and the time
 // to make it has come.
 func (m *Model) mustReclaim(now time.Time, g *gang) bool {
-	due := g.job.spec.SubmittedAt.Add(m.timing.Reclaim - m.timing.TaskStop - reclaimMargin)
+	due := g.job.since.Add(m.timing.Reclaim - m.timing.TaskStop - reclaimMargin)
 	return !now.Before(due) && m.withinGuarantee(g.job.spec.Team)
 }
 
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -249,7 +249,7 @@
 		g.job.atWork = true
 		m.emit(DecisionCmd{
 			Kind: JobStarted, Job: g.job.spec.ID, Attempt: g.attempt, Worker: r.worker.ID, Domain: r.worker.Domain,
-			Delay: now.Sub(g.job.spec.SubmittedAt), Detail: g.job.spec.Queue, ConfigVersion: m.config.Version,
+			Delay: now.Sub(g.job.since), Detail: g.job.spec.Queue, ConfigVersion: m.config.Version,
 		})
 	}
 }
--- a/internal/core/plan/value.go
+++ b/internal/core/plan/value.go
@@ -34,7 +34,7 @@
 // deadlines returns until when a job earns its whole worth and until when it
 // earns some.
 func (m *Model) deadlines(j *job) (whole, part time.Time) {
-	begin := j.spec.SubmittedAt
+	begin := j.since
 	if !j.spec.FirstDueAt.IsZero() {
 		begin = j.spec.FirstDueAt
 	}
