Nothing is started at workers or in domains that left while a start was pending

Found by reading: a placement may wait for a slow store, and an order without answer was repeated for 2.5 s, while drain_ms is 2 s. Tests, both red before: 'is not started in a domain that left while its places were being stored', 'is not started again at a worker that has begun to drain'.

--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -1,6 +1,7 @@
 package plan_test
 
 import (
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -157,4 +158,54 @@
 		Expect(w.state(j.ID)).To(Equal(record.Completed))
 		Expect(w.progress[j.ID].Attempt).To(Equal(1))
 	})
+
+	// Storing a placement may take long enough for its domain to leave meanwhile.
+	It("is not started in a domain that left while its places were being stored", func() {
+		w := newWorld(1, 12)
+		w.run(100 * time.Millisecond)
+		w.storeDown = true
+		j := job(1, "urgent", gangStep(2, 8))
+		w.submit(j)
+		w.run(200 * time.Millisecond)
+		w.send(plan.DomainsMsg{Out: []string{"domain-0"}})
+		w.run(200 * time.Millisecond)
+		w.storeDown = false
+		w.run(4 * time.Second)
+		Expect(w.Problems()).To(BeEmpty())
+		Expect(w.state(j.ID)).To(Equal(record.Completed))
+		for _, note := range w.Notes() {
+			if strings.Contains(note, "starts") {
+				Expect(note).NotTo(MatchRegexp("worker-0[0-5]"))
+			}
+		}
+	})
+
+	// An order without answer is repeated, but not to a worker that leaves.
+	It("is not started again at a worker that has begun to drain", func() {
+		w := newWorld(1, 12)
+		w.run(100 * time.Millisecond)
+		for _, id := range w.IDs()[:6] {
+			w.Worker(id).Cut = true
+		}
+		j := job(1, "urgent", gangStep(2, 8))
+		w.submit(j)
+		w.run(500 * time.Millisecond)
+		for _, id := range w.IDs()[:6] {
+			entry := w.Worker(id).Entry
+			entry.Draining, entry.Remaining = true, 5*time.Second
+			w.send(plan.WorkersMsg{Changed: []plan.Worker{entry}})
+		}
+		w.run(100 * time.Millisecond)
+		for _, id := range w.IDs()[:6] {
+			w.Worker(id).Cut = false
+		}
+		w.run(10 * time.Second)
+		Expect(w.Problems()).To(BeEmpty())
+		Expect(w.state(j.ID)).To(Equal(record.Completed))
+		for _, note := range w.Notes() {
+			if strings.Contains(note, "starts") {
+				Expect(note).NotTo(MatchRegexp("worker-0[0-5]"))
+			}
+		}
+	})
 })
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rattanshore/rattanshore/internal/wire/record"
@@ -89,6 +90,10 @@
 	if g.phase != placed {
 		return
 	}
+	if m.placesLeave(g) {
+		m.breakUp(now, g, "a worker leaves before the start")
+		return
+	}
 	for _, r := range g.runs {
 		if r.phase == recording {
 			r.phase = sending
@@ -99,6 +104,15 @@
 	g.deadline = now.Add(m.timing.GangWait)
 }
 
+// placesLeave reports whether a run that has still to be started, or started
+// again, lies where nothing may be started any more.
+func (m *Model) placesLeave(g *gang) bool {
+	return slices.ContainsFunc(g.runs, func(r *run) bool {
+		toStart := r.phase == recording || r.phase == sending && r.open
+		return toStart && (r.worker.Draining || m.out[r.worker.Domain])
+	})
+}
+
 // isAway reports whether places are away from the gang's data or spread over
 // racks though it should lie in one.
 func isAway(g *gang, places []*worker) bool {
--- a/internal/core/plan/stop.go
+++ b/internal/core/plan/stop.go
@@ -121,6 +121,10 @@
 func (m *Model) expireGang(now time.Time, g *gang) {
 	switch g.phase {
 	case placed:
+		if m.placesLeave(g) {
+			m.breakUp(now, g, "a worker leaves before the start")
+			return
+		}
 		m.retryStarts(now, g)
 		if !g.whole() && !g.deadline.IsZero() && now.After(g.deadline) {
 			m.suspectSilent(now, g)
