--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -17,6 +17,9 @@
 	// changesWait is how long the store may hold back a feed's answer. A feed
 	// may go silent without a reset, so it is asked anew often.
 	changesWait = time.Second
+	// workersPause lies between two answers of the workers' feed. Every worker
+	// writes its entry each second or two, so that each call would bring one.
+	workersPause = 250 * time.Millisecond
 	// loadTimeout bounds one try to read what earlier leaders left.
 	loadTimeout = 5 * time.Second
 )
@@ -219,6 +222,7 @@
 		after = version
 		if msg.Whole || len(msg.Changed) > 0 || len(msg.Gone) > 0 {
 			s.runner.Send(msg)
+			sleep(ctx, workersPause)
 		}
 	}
 }
