--- a/internal/edge/fleet/host_test.go
+++ b/internal/edge/fleet/host_test.go
@@ -178,6 +178,22 @@
 		Eventually(state(one, job.ID), 5*time.Second).Should(Equal("completed"))
 	})
 
+	It("lead on from rows that cannot be read", func() {
+		one := startHost(p, "one")
+		first := newJob(p, 1)
+		Eventually(func() int { return submit(one, first) }, 5*time.Second).Should(Equal(http.StatusOK))
+		Eventually(state(one, first.ID), 5*time.Second).Should(Equal("completed"))
+		one.stop()
+		Eventually(one.done, 8*time.Second).Should(BeClosed())
+		p.Store.Put("lead", "planner", []byte("foreign"))
+		p.Store.Put("jobs", "00000000000000ff", []byte("foreign"))
+		p.Store.Put("progress", "00000000000000fe", []byte("foreign"))
+		two := startHost(p, "two")
+		job := newJob(p, 2)
+		Eventually(func() int { return submit(two, job) }, 5*time.Second).Should(Equal(http.StatusOK))
+		Eventually(state(two, job.ID), 4*time.Second).Should(Equal("completed"))
+	})
+
 	It("refuse bad bodies and identifiers", func() {
 		one := startHost(p, "one")
 		Eventually(func() int { return submit(one, newJob(p, 1)) }, 5*time.Second).Should(Equal(http.StatusOK))
--- a/internal/edge/fleet/lead.go
+++ b/internal/edge/fleet/lead.go
@@ -78,11 +78,16 @@
 	return h.store.Read(ctx, leaderKey)
 }
 
-// decodeLeader reads the leader's row. One that cannot be read has no holder.
+// decodeLeader reads the leader's row. One that cannot be read has no holder;
+// its version is an epoch above all earlier ones, since each takeover raises the
+// version by one or more.
 func decodeLeader(row store.Row) record.Leader {
 	var leader record.Leader
-	if row.Version == 0 || decode(row.Value, &leader) != nil {
-		return record.Leader{}
+	if row.Version == 0 {
+		return leader
+	}
+	if err := decode(row.Value, &leader); err != nil {
+		return record.Leader{Epoch: row.Version}
 	}
 	return leader
 }
@@ -99,6 +104,7 @@
 	ctx, cancel := context.WithTimeout(ctx, leaderCall)
 	defer cancel()
 	if err := lane.Apply(ctx, store.Change{}, value); err != nil {
+		logev.TakeoverFailed.Log(h.log).Int64("epoch", leader.Epoch).Int64("row-version", row.Version).Err(err).Send()
 		return 0, nil, false
 	}
 	h.meter.Takeovers.Inc()
--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -190,8 +190,8 @@
 			rows, err = store.Scan(ctx, s.host.store, tableJobs, "", "")
 		}
 		if err != nil {
+			s.feedFailed(ctx, tableJobs, wait > 0, err)
 			wait = 0
-			sleep(ctx, retryPause)
 			continue
 		}
 		wait = changesWait
@@ -207,6 +207,14 @@
 	}
 }
 
+// feedFailed logs the first of several failures of a feed, and pauses.
+func (s *session) feedFailed(ctx context.Context, feed string, first bool, err error) {
+	if first && ctx.Err() == nil {
+		logev.FeedLost.Log(s.host.log).Int64("epoch", s.epoch).Str("feed", feed).Err(err).Send()
+	}
+	sleep(ctx, retryPause)
+}
+
 // followWorkers sends changes of the list of workers to the planner.
 func (s *session) followWorkers(ctx context.Context) {
 	var after int64
@@ -214,8 +222,8 @@
 	for ctx.Err() == nil {
 		msg, version, err := s.host.directory.Workers(ctx, after, wait)
 		if err != nil {
+			s.feedFailed(ctx, "workers", wait > 0, err)
 			wait = 0
-			sleep(ctx, retryPause)
 			continue
 		}
 		wait = changesWait
--- a/internal/ops/logev/logev.go
+++ b/internal/ops/logev/logev.go
@@ -34,6 +34,8 @@
 	LeaderGivenUp   Event = 152
 	PlanLoaded      Event = 153
 	RowSkipped      Event = 154
+	TakeoverFailed  Event = 155
+	FeedLost        Event = 156
 	ConfigInForce   Event = 140
 	ConfigAccepted  Event = 141
 	ConfigRefused   Event = 142
@@ -93,6 +95,8 @@
 	{LeaderLost, "leader-lost", zerolog.WarnLevel, "This host has stopped planning; the reason says why."},
 	{LeaderGivenUp, "leader-given-up", zerolog.InfoLevel, "The lead was handed over at a planned stop."},
 	{PlanLoaded, "plan-loaded", zerolog.InfoLevel, "The rows that earlier leaders left are read."},
+	{TakeoverFailed, "takeover-failed", zerolog.InfoLevel, "The leader's row could not be written; another host may have been first."},
+	{FeedLost, "feed-lost", zerolog.WarnLevel, "A feed of the leader got no answer; it is asked again until it does."},
 	{RowSkipped, "row-skipped", zerolog.WarnLevel, "A row of the store cannot be read and is left alone."},
 	{ConfigInForce, "config-in-force", zerolog.InfoLevel, "Decisions use this configuration version from now on."},
 	{ConfigAccepted, "config-accepted", zerolog.InfoLevel, "An operator's change was committed as this version."},
