--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -32,27 +33,35 @@
 		t.Fatalf("%v: %s", err, out)
 	}
 	for _, seed := range chosen() {
-		report, err := soak.Run(t.Context(), soak.Options{
-			Seed: seed, Binary: binary, Dir: logs(t), Hosts: 3, Workers: 12, Faults: *faults,
-			Settle: 40 * time.Second, FirstPort: uint16(firstPort + seed%100*portsPerSeed),
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Logf("seed %d: %d accepted, %d refused, %d completed", seed, report.Accepted, report.Refused, report.Completed)
-		for _, p := range report.Problems {
-			t.Errorf("seed %d: %s", seed, p)
-		}
-		if t.Failed() {
-			for _, f := range report.Faults {
-				t.Log(f)
-			}
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { play(t, binary, seed) })
+	}
+}
+
+// play runs one seed and reports what it saw.
+func play(t *testing.T, binary string, seed uint64) {
+	report, err := soak.Run(t.Context(), soak.Options{
+		Seed: seed, Binary: binary, Dir: logs(t), Hosts: 3, Workers: 12, Faults: *faults,
+		Settle: 40 * time.Second, FirstPort: uint16(firstPort + seed%100*portsPerSeed),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d accepted, %d refused, %d completed", report.Accepted, report.Refused, report.Completed)
+	for _, p := range report.Problems {
+		t.Error(p)
+	}
+	if t.Failed() {
+		for _, f := range report.Faults {
+			t.Log(f)
 		}
 	}
 }
 
-// regressions are seeds that failed once.
+// regressions are seeds that failed once. Two runs at the same time must not
+// have seeds that agree in their last two digits, since these choose the ports.
 //
+//   - 1: once in some sixty runs a task was started again after it was done, 150 ms
+//     after the leader was killed; not traced.
 //   - 52: the store was away from the first fault to the last, so no job could be
 //     accepted; the check asked for one. Now a job after the last fault has to be.
 var regressions = []uint64{52}
