--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -60,8 +60,8 @@
 // regressions are seeds that failed once. Two runs at the same time must not
 // have seeds that agree in their last two digits, since these choose the ports.
 //
-//   - 1: once in some sixty runs a task was started again after it was done, 150 ms
-//     after the leader was killed; not traced.
+//   - 1: once in some sixty runs a task was started again after it was done, while
+//     workers lost answers; not traced.
 //   - 52: the store was away from the first fault to the last, so no job could be
 //     accepted; the check asked for one. Now a job after the last fault has to be.
 var regressions = []uint64{52}
