An end of an earlier attempt counts as done; tests for outdated starts and inherited leases

Change: it ends the gang, and the present attempt is called off. Test 'an end counts as done while the next attempt is still being stored': red before (2 starts), green now.

--- a/internal/core/plan/ends.go
+++ b/internal/core/plan/ends.go
@@ -127,7 +127,7 @@
 		w.failures = 0
 		w.benches = 0
 		m.learn.ended(now, g)
-		m.gangDone(now, g)
+		m.gangDone(now, g, end.Attempt)
 	case EndFailed:
 		m.runFailed(now, g, w, end.Attempt)
 	case EndStopped, EndLapsed, EndBroken, EndAlone:
@@ -135,14 +135,20 @@
 	}
 }
 
-// earlierEnded takes in the end of an attempt before the present one. It tells
-// something new only if it was never stored, and does not count if the run had
-// been given up.
+// earlierEnded takes in the end of an attempt before the present one. What is
+// done is done, and the present attempt is called off. A failure tells something
+// new only if it was never stored, and does not count if the run had been given
+// up.
 func (m *Model) earlierEnded(now time.Time, g *gang, w *worker, end EndReport) {
-	if end.Kind != EndFailed || slices.Contains(g.lost, end.Attempt) {
-		return
+	switch end.Kind {
+	case EndDone:
+		m.gangDone(now, g, end.Attempt)
+	case EndFailed:
+		if !slices.Contains(g.lost, end.Attempt) {
+			m.countFailure(now, g, w, end.Attempt)
+		}
+	case EndStopped, EndLapsed, EndBroken, EndAlone:
 	}
-	m.countFailure(now, g, w, end.Attempt)
 }
 
 func endText(kind EndKind) string {
@@ -160,7 +166,8 @@
 	return "ended"
 }
 
-func (m *Model) gangDone(now time.Time, g *gang) {
+// gangDone takes in that an attempt of the gang has ended well.
+func (m *Model) gangDone(now time.Time, g *gang, attempt int) {
 	if g.spec().Perpetual {
 		m.breakUp(now, g, "ended and has to last")
 		return
@@ -173,7 +180,7 @@
 	case blocked, placed, stopping, done, dead:
 	}
 	g.phase = done
-	m.stopRuns(now, g, func(r *run) bool { return r.attempt != g.attempt })
+	m.stopRuns(now, g, func(r *run) bool { return r.attempt != attempt })
 	m.afterRelease(g)
 	g.job.open[stepKey{g.occurrence, g.step}]--
 	m.record(now, g.job, soon)
--- a/internal/core/plan/fault_test.go
+++ b/internal/core/plan/fault_test.go
@@ -65,7 +65,7 @@
 // act lets one random thing happen.
 func act(t *rapid.T, w *world, number *int) {
 	f := w.Worker(fmt.Sprintf("worker-%02d", rapid.IntRange(0, 11).Draw(t, "worker")))
-	switch rapid.IntRange(0, 11).Draw(t, "what") {
+	switch rapid.IntRange(0, 12).Draw(t, "what") {
 	case 0, 1, 2, 3:
 		*number++
 		w.submit(randomJob(t, *number))
@@ -89,6 +89,9 @@
 		w.leave(f)
 	case 11:
 		w.leadToo()
+	case 12:
+		w.apart[f.Entry.ID] = !w.apart[f.Entry.ID]
+		w.Note("%s reached by earlier leaders only: %v", f.Entry.ID, w.apart[f.Entry.ID])
 	}
 }
 
@@ -132,6 +135,7 @@
 // heal ends every fault.
 func heal(w *world) {
 	w.loseAnswer, w.late, w.storeDown = 0, 0, false
+	clear(w.apart)
 	for _, id := range w.IDs() {
 		f := w.Worker(id)
 		f.Cut = false
--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -208,4 +208,71 @@
 			}
 		}
 	})
+
+	// The answer to the start is lost and the task ends before the start is
+	// repeated, so that the repeated start is refused as outdated.
+	It("is not started again when it ended before its start was repeated", func() {
+		w := newWorld(1, 12)
+		w.work = func(plan.TaskID) time.Duration { return 300 * time.Millisecond }
+		w.run(100 * time.Millisecond)
+		w.loseAnswer = 1
+		j := job(1, "long", step(1, 1))
+		w.submit(j)
+		w.run(1500 * time.Millisecond)
+		w.loseAnswer = 0
+		w.run(time.Second)
+		w.lead()
+		w.run(12 * time.Second)
+		Expect(w.Problems()).To(BeEmpty())
+		Expect(w.state(j.ID)).To(Equal(record.Completed))
+		Expect(w.Starts(plan.TaskID{Job: j.ID})).To(Equal(1))
+	})
+
+	// A leader that was taken over while the store is away renews leases until
+	// it hears of it; how late its last renewal is depends on when it looks.
+	DescribeTable("is not started again while an earlier leader may renew its lease", func(before time.Duration) {
+		w := newWorld(1, 12)
+		w.work = func(plan.TaskID) time.Duration { return 20 * time.Second }
+		w.run(100 * time.Millisecond)
+		j := job(1, "long", step(1, 1))
+		w.submit(j)
+		w.run(before)
+		for _, id := range w.IDs() {
+			w.apart[id] = w.Worker(id).Running() > 0
+		}
+		w.leadToo()
+		w.storeDown = true
+		w.run(1900 * time.Millisecond)
+		w.storeDown = false
+		w.run(40 * time.Second)
+		Expect(w.Problems()).To(BeEmpty())
+		Expect(w.state(j.ID)).To(Equal(record.Completed))
+	},
+		Entry("early in a look", 300*time.Millisecond),
+		Entry("in the middle of a look", 600*time.Millisecond),
+		Entry("late in a look", 900*time.Millisecond),
+	)
+})
+
+var _ = Describe("an end", func() {
+	// An answer may list an end of an attempt that was given up meanwhile.
+	It("counts as done while the next attempt is still being stored", func() {
+		w := newWorld(1, 1)
+		w.run(100 * time.Millisecond)
+		w.storeDown = true
+		j := job(1, "long", step(1, 1))
+		w.jobs[j.ID] = j
+		earlier := record.Progress{ID: j.ID, State: record.Running, Attempt: 1}
+		w.send(plan.JobMsg{Job: j, Progress: earlier})
+		w.run(500 * time.Millisecond)
+		entry := w.Alive()[0]
+		w.send(plan.LookMsg{
+			Worker: entry.ID, Answered: true, Born: entry.Born, Clock: w.now, SentAt: w.now,
+			Ended: []plan.EndReport{{Number: 1, Task: plan.TaskID{Job: j.ID}, Attempt: 1, Kind: plan.EndDone}},
+		})
+		w.storeDown = false
+		w.run(5 * time.Second)
+		Expect(w.Starts(plan.TaskID{Job: j.ID})).To(BeZero())
+		Expect(w.state(j.ID)).To(Equal(record.Completed))
+	})
 })
--- a/internal/core/plan/world_test.go
+++ b/internal/core/plan/world_test.go
@@ -43,6 +43,8 @@
 	cancelled map[string]bool
 	rosters   map[int]record.Roster
 	storeDown bool
+	// apart names workers that only earlier leaders reach, not the newest.
+	apart map[string]bool
 
 	// loseAnswer is the chance that a worker's answer is lost, late the chance
 	// that an order is carried out seconds later instead.
@@ -89,6 +91,7 @@
 		progress:  map[string]record.Progress{},
 		cancelled: map[string]bool{},
 		rosters:   map[int]record.Roster{},
+		apart:     map[string]bool{},
 		work:      func(plan.TaskID) time.Duration { return 2 * time.Second },
 		fails:     func(plan.TaskID, string) bool { return false },
 		config: rules.Config{
@@ -231,12 +234,12 @@
 			silence := plan.StartMsg{
 				Worker: cmd.Worker, Task: cmd.Task, Attempt: cmd.Attempt, Outcome: plan.Unanswered, SentAt: w.now,
 			}
-			w.order(func() plan.Msg { return w.Start(cmd) }, silence, cmd.Worker, reply)
+			w.order(p, func() plan.Msg { return w.Start(cmd) }, silence, cmd.Worker, reply)
 		case plan.StopCmd:
 			silence := plan.StopMsg{Worker: cmd.Worker, Task: cmd.Task, Attempt: cmd.Attempt, SentAt: w.now}
-			w.order(func() plan.Msg { return w.Stop(cmd) }, silence, cmd.Worker, reply)
+			w.order(p, func() plan.Msg { return w.Stop(cmd) }, silence, cmd.Worker, reply)
 		case plan.LookCmd:
-			w.look(cmd, reply)
+			w.look(p, cmd, reply)
 		case plan.WriteCmd:
 			w.write(cmd, p, reply)
 		case plan.DeposedCmd:
@@ -249,10 +252,10 @@
 }
 
 // order carries out a start or a stop, maybe late or without an answer.
-func (w *world) order(do func() plan.Msg, silence plan.Msg, worker string, reply func(plan.Msg)) {
+func (w *world) order(p *planner, do func() plan.Msg, silence plan.Msg, worker string, reply func(plan.Msg)) {
 	f := w.Worker(worker)
 	switch {
-	case f.Cut || f.Dead:
+	case !w.reaches(p, f):
 		w.After(orderTimeout, func() { reply(silence) })
 	case w.random.Float64() < w.late:
 		// The order was read by this life of the worker and dies with it.
@@ -273,7 +276,12 @@
 	}
 }
 
-func (w *world) look(cmd plan.LookCmd, reply func(plan.Msg)) {
+// reaches reports whether a leader's calls get to a worker.
+func (w *world) reaches(p *planner, f *crew.Worker) bool {
+	return !f.Cut && !f.Dead && (!w.apart[f.Entry.ID] || p.epoch < w.epoch)
+}
+
+func (w *world) look(p *planner, cmd plan.LookCmd, reply func(plan.Msg)) {
 	f := w.Worker(cmd.Worker)
 	answered := false
 	silence := plan.LookMsg{Worker: cmd.Worker, SentAt: w.now, Acknowledged: cmd.Acknowledged}
@@ -282,7 +290,7 @@
 			reply(silence)
 		}
 	})
-	if f.Cut || f.Dead {
+	if !w.reaches(p, f) {
 		return
 	}
 	w.After(orderDelay+f.SlowLook, func() {
