--- a/internal/core/rows/rows.go
+++ b/internal/core/rows/rows.go
@@ -1,7 +1,40 @@
-// Package rows names the rows of the platform's table service.
+// Package rows names the rows of the shards' state in the platform's store.
 package rows
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
+
+// The tables in which rows lie.
+const (
+	// Shared holds the few rows that every host follows.
+	Shared = "shared"
+	// ShardJobs holds the jobs of all shards and their cancellations.
+	ShardJobs = "shard-jobs"
+	PastJobs  = "past-jobs"
+	Pointers  = "job-shards"
+	Requests  = "requests"
+	Configs   = "configs"
+)
+
+// Table returns the table in which the row of a name lies.
+func Table(name string) string {
+	switch {
+	case strings.HasPrefix(name, JobPrefix), strings.HasPrefix(name, CancelPrefix):
+		return ShardJobs
+	case strings.HasPrefix(name, PastPrefix):
+		return PastJobs
+	case strings.HasPrefix(name, PointerPrefix):
+		return Pointers
+	case strings.HasPrefix(name, RequestPrefix):
+		return Requests
+	case strings.HasPrefix(name, ConfigPrefix) && name != ConfigCurrent:
+		return Configs
+	default:
+		return Shared
+	}
+}
 
 // Prefixes under which rows lie.
 const (
--- a/internal/core/sched/cmd.go
+++ b/internal/core/sched/cmd.go
@@ -17,12 +17,18 @@
 	Call    plat.WorkerCall
 }
 
+// Condition names a row and the version that it must have; 0 means absent.
+type Condition struct {
+	Row     string
+	Version int64
+}
+
 // CommitCmd writes job rows in one transaction that is fenced by the shard's
 // row. Its end comes back as a CommittedMsg. At most one is outstanding. A
 // commit without rows renews the shard's lease.
 type CommitCmd struct {
 	Batch      int
-	Conditions []plat.Condition
+	Conditions []Condition
 	Jobs       []schema.JobStatus
 	// Cleared names jobs whose cancellation row is no longer needed.
 	Cleared []string
--- a/internal/core/sched/commit.go
+++ b/internal/core/sched/commit.go
@@ -5,13 +5,15 @@
 	"time"
 
 	"github.com/rattanshore/rattanshore/internal/core/rows"
-	"github.com/rattanshore/rattanshore/internal/wire/plat"
 	"github.com/rattanshore/rattanshore/internal/wire/schema"
 )
 
 const (
-	// maxBatch is the largest number of job rows in one transaction.
-	maxBatch = 200
+	// maxBatch is the largest number of starts, of other changed jobs and of
+	// cleared cancellations in one transaction. A job that has ended takes up to
+	// three of the hundred entries that the platform takes, and the failure
+	// domains of the starts need some.
+	maxBatch = 15
 	// renewInterval is the longest time between two writes of the shard row.
 	renewInterval = time.Second
 )
@@ -80,8 +82,8 @@
 
 // startConditions makes starts fail when a failure domain they use or the
 // configuration has changed since they were decided.
-func (m *Model[P]) startConditions(gangs []*gang) []plat.Condition {
-	conditions := []plat.Condition{{Key: rows.ConfigCurrent, Version: m.configAt}}
+func (m *Model[P]) startConditions(gangs []*gang) []Condition {
+	conditions := []Condition{{Row: rows.ConfigCurrent, Version: m.configAt}}
 	seen := map[string]bool{}
 	for _, g := range gangs {
 		for _, mb := range g.members {
@@ -90,7 +92,7 @@
 				continue
 			}
 			seen[name] = true
-			conditions = append(conditions, plat.Condition{Key: rows.Domain(name), Version: m.domains[name].Version})
+			conditions = append(conditions, Condition{Row: rows.Domain(name), Version: m.domains[name].Version})
 		}
 	}
 	return conditions
--- a/internal/core/sched/msg.go
+++ b/internal/core/sched/msg.go
@@ -70,12 +70,11 @@
 	Err    error
 }
 
-// CommittedMsg is the end of a CommitCmd. FailedKeys names the rows whose
-// condition did not hold; nothing was written then.
+// CommittedMsg is the end of a CommitCmd. Nothing was written unless it was
+// committed.
 type CommittedMsg struct {
-	Batch      int
-	Committed  bool
-	FailedKeys []string
+	Batch     int
+	Committed bool
 }
 
 // DrainMsg stops new placements, as a first step of handing the shard over.
--- a/internal/edge/entry/answer.go
+++ b/internal/edge/entry/answer.go
@@ -10,9 +10,8 @@
 	"github.com/rattanshore/rattanshore/internal/core/membr"
 	"github.com/rattanshore/rattanshore/internal/core/route"
 	"github.com/rattanshore/rattanshore/internal/core/rows"
-	"github.com/rattanshore/rattanshore/internal/edge/table"
+	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
-	"github.com/rattanshore/rattanshore/internal/wire/plat"
 	"github.com/rattanshore/rattanshore/internal/wire/schema"
 )
 
@@ -145,15 +144,16 @@
 }
 
 func (h *Host) tryClaim(ctx context.Context, call schema.CallRequest, content string, version int64) (bool, error) {
-	key := rows.Request(call.ID)
-	outcome, err := h.group.Apply(ctx, table.Change{
-		Conditions: []plat.Condition{{Key: key, Version: version}},
-		Writes: []plat.Write{{Key: key, Value: table.Encode(claim.Row{
-			State: claim.Claimed, Content: content,
-			Host: h.settings.Host.ID, Incarnation: h.incarnation, ClaimedAt: time.Now(),
-		})}},
+	name := rows.Request(call.ID)
+	row := claim.Row{
+		State: claim.Claimed, Content: content,
+		Host: h.settings.Host.ID, Incarnation: h.incarnation, ClaimedAt: time.Now(),
+	}
+	outcome, err := h.group.Apply(ctx, store.Change{
+		Expect: []store.Row{expected(name, version)},
+		Put:    []store.Row{rowOf(name, row)},
 	})
-	return outcome.Committed, err
+	return outcome.Made, err
 }
 
 // versionedClaim is a claim's row with its version.
@@ -168,11 +168,11 @@
 	ctx, cancel := context.WithDeadline(ctx, cmd.Call.Deadline)
 	defer cancel()
 	for {
-		row, err := h.table.Row(ctx, rows.Request(cmd.Call.ID))
+		row, err := h.readRow(ctx, rows.Request(cmd.Call.ID))
 		if err != nil {
 			return 0, versionedClaim{}, err
 		}
-		value, err := table.Decode[claim.Row](row)
+		value, err := decode[claim.Row](row)
 		if err != nil {
 			return 0, versionedClaim{}, err
 		}
@@ -215,10 +215,8 @@
 	case route.Unknown, route.Duplicate:
 		row.State = claim.Unknown
 	}
-	outcome, err := h.group.Apply(ctx, table.Change{
-		Writes: []plat.Write{{Key: rows.Request(cmd.Call.ID), Value: table.Encode(row)}},
-	})
-	if err != nil && !errors.Is(err, context.Canceled) || err == nil && !outcome.Committed {
+	outcome, err := h.group.Apply(ctx, store.Change{Put: []store.Row{rowOf(rows.Request(cmd.Call.ID), row)}})
+	if err != nil && !errors.Is(err, context.Canceled) || err == nil && !outcome.Made {
 		logev.InternalProblem.Log(h.log).Str("request", cmd.Call.ID).Err(err).Msg("ending not recorded")
 		return
 	}
--- a/internal/edge/entry/callers.go
+++ b/internal/edge/entry/callers.go
@@ -16,10 +16,9 @@
 	"github.com/rattanshore/rattanshore/internal/core/route"
 	"github.com/rattanshore/rattanshore/internal/core/rows"
 	"github.com/rattanshore/rattanshore/internal/core/sched"
-	"github.com/rattanshore/rattanshore/internal/edge/table"
+	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
 	"github.com/rattanshore/rattanshore/internal/wire/callrs"
-	"github.com/rattanshore/rattanshore/internal/wire/plat"
 	"github.com/rattanshore/rattanshore/internal/wire/schema"
 )
 
@@ -173,7 +172,7 @@
 	switch {
 	case h.isStopping():
 		h.fail(ctx, comeBack(schema.NotRun, "this host is stopping; nothing was recorded", now.Add(time.Second)))
-	case h.table.Health() == table.Down:
+	case h.store.Health() == store.Down:
 		h.fail(ctx, comeBack(schema.Unavailable, "the table service is down; nothing was recorded", now.Add(comeBackPause)))
 	case h.view.configVersion() == 0:
 		h.fail(ctx, comeBack(schema.Unavailable, "there is no configuration yet; nothing was recorded", now.Add(comeBackPause)))
@@ -224,7 +223,7 @@
 	if err != nil {
 		return ""
 	}
-	return string(table.Encode(xxhash.Sum64(data)))
+	return string(encode(xxhash.Sum64(data)))
 }
 
 func (a callerAPI) record(ctx iris.Context, spec schema.JobSpec, shard string, version int64) {
@@ -233,18 +232,15 @@
 		SubmittedAt: time.Now(), ConfigVersion: version,
 	}
 	pointer := pointerRow{Shard: shard, Content: contentOf(spec)}
-	key := rows.Pointer(spec.ID)
-	outcome, err := a.write(ctx, table.Change{
-		Conditions: []plat.Condition{{Key: key}},
-		Writes: []plat.Write{
-			{Key: key, Value: table.Encode(pointer)},
-			{Key: rows.Job(shard, spec.ID), Value: table.Encode(status)},
-		},
+	name := rows.Pointer(spec.ID)
+	outcome, err := a.write(ctx, store.Change{
+		Expect: []store.Row{expected(name, 0)},
+		Put:    []store.Row{rowOf(name, pointer), rowOf(rows.Job(shard, spec.ID), status)},
 	})
 	switch {
 	case err != nil:
 		a.fail(ctx, failure(schema.OutcomeUnknown, "the job may have been recorded; submit it again with the same id to learn"))
-	case !outcome.Committed:
+	case !outcome.Made:
 		a.repeatSubmit(ctx, spec, pointer.Content)
 	default:
 		logev.JobRecorded.Log(a.log).Str("job", spec.ID).Str("team", spec.Team).Str("shard", shard).
@@ -255,7 +251,7 @@
 }
 
 // write commits a change and waits a limited time for it.
-func (h *Host) write(ctx iris.Context, change table.Change) (table.Outcome, error) {
+func (h *Host) write(ctx iris.Context, change store.Change) (store.Outcome, error) {
 	limited, cancel := context.WithTimeout(ctx.Request().Context(), writeTimeout)
 	defer cancel()
 	return h.group.Apply(limited, change)
@@ -287,31 +283,36 @@
 
 func (h *Host) findJob(ctx context.Context, id string) (pointerRow, schema.JobStatus, error) {
 	var status schema.JobStatus
-	row, err := h.table.Row(ctx, rows.Pointer(id))
+	row, err := h.readRow(ctx, rows.Pointer(id))
 	if err != nil {
 		return pointerRow{}, status, err
 	}
 	if row.Version == 0 {
 		return pointerRow{}, status, errNoJob
 	}
-	pointer, err := table.Decode[pointerRow](row)
+	pointer, err := decode[pointerRow](row)
 	if err != nil {
 		return pointerRow{}, status, err
 	}
-	result, err := h.table.Scan(ctx,
-		plat.Range{Prefix: rows.Job(pointer.Shard, id), Exact: true},
-		plat.Range{Prefix: rows.Past(pointer.Shard, id), Exact: true},
-	)
+	row, err = h.jobRow(ctx, pointer.Shard, id)
 	if err != nil {
 		return pointer, status, err
 	}
-	if len(result.Rows) == 0 {
-		return pointer, status, errNoJob
-	}
-	status, err = table.Decode[schema.JobStatus](result.Rows[0])
+	status, err = decode[schema.JobStatus](row)
 	return pointer, status, err
 }
 
+// jobRow reads the row of a job, which moves to the past jobs when it ends.
+func (h *Host) jobRow(ctx context.Context, shard, id string) (store.Row, error) {
+	for _, name := range []string{rows.Job(shard, id), rows.Past(shard, id)} {
+		row, err := h.readRow(ctx, name)
+		if err != nil || row.Version > 0 {
+			return row, err
+		}
+	}
+	return store.Row{}, errNoJob
+}
+
 func (h *Host) failRead(ctx iris.Context, err error) {
 	if errors.Is(err, errNoJob) {
 		h.fail(ctx, failure(schema.NotFound, "there is no such job"))
@@ -332,15 +333,15 @@
 
 // ListJobs shows the jobs of all shards.
 func (a callerAPI) ListJobs(ctx iris.Context, params schema.ListJobsParams) {
-	result, err := a.table.Scan(ctx.Request().Context(), plat.Range{Prefix: rows.JobPrefix}, plat.Range{Prefix: rows.PastPrefix})
+	found, err := a.jobRows(ctx.Request().Context())
 	if err != nil {
 		a.failRead(ctx, err)
 		return
 	}
 	list := schema.JobList{Jobs: []schema.JobStatus{}}
-	for _, row := range result.Rows {
-		job, err := table.Decode[schema.JobStatus](row)
-		if err != nil {
+	for _, row := range found {
+		job, ok := decodeOr[schema.JobStatus](a.log, row)
+		if !ok {
 			continue
 		}
 		if params.Team != "" && params.Team != job.Spec.Team || params.State != "" && params.State != string(job.State) {
@@ -352,6 +353,27 @@
 	a.reply(ctx, list)
 }
 
+// jobRows reads the rows of all jobs. One that ends between the two readings is
+// in both; what it ended as comes last.
+func (h *Host) jobRows(ctx context.Context) ([]store.Row, error) {
+	alive, err := h.readRows(ctx, rows.ShardJobs, rows.JobPrefix)
+	if err != nil {
+		return nil, err
+	}
+	past, err := h.readRows(ctx, rows.PastJobs, rows.PastPrefix)
+	if err != nil {
+		return nil, err
+	}
+	ended := map[string]bool{}
+	for _, row := range past {
+		ended[strings.TrimPrefix(row.Key.Name, rows.PastPrefix)] = true
+	}
+	alive = slices.DeleteFunc(alive, func(row store.Row) bool {
+		return ended[strings.TrimPrefix(row.Key.Name, rows.JobPrefix)]
+	})
+	return append(alive, past...), nil
+}
+
 // CancelJob records a cancellation.
 func (a callerAPI) CancelJob(ctx iris.Context, id string) {
 	if a.unavailable(ctx) {
@@ -366,9 +388,7 @@
 		a.reply(ctx, status)
 		return
 	}
-	_, err = a.write(ctx, table.Change{
-		Writes: []plat.Write{{Key: rows.Cancel(pointer.Shard, id), Value: table.Encode(time.Now())}},
-	})
+	_, err = a.write(ctx, store.Change{Put: []store.Row{rowOf(rows.Cancel(pointer.Shard, id), time.Now())}})
 	if err != nil {
 		a.fail(ctx, failure(schema.OutcomeUnknown, "the cancellation may have been recorded; cancel again to be sure"))
 		return
--- a/internal/edge/entry/host.go
+++ b/internal/edge/entry/host.go
@@ -16,9 +16,10 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rattanshore/rattanshore/internal/core/route"
+	"github.com/rattanshore/rattanshore/internal/edge/hosts"
 	"github.com/rattanshore/rattanshore/internal/edge/peers"
 	"github.com/rattanshore/rattanshore/internal/edge/runner"
-	"github.com/rattanshore/rattanshore/internal/edge/table"
+	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/edge/target"
 	"github.com/rattanshore/rattanshore/internal/edge/worker"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
@@ -41,9 +42,10 @@
 	log         *zerolog.Logger
 	metrics     *metrc.Set
 
-	table   *table.Client
-	lane    *table.Lane
-	group   *table.Group
+	store   *store.Client
+	lane    *store.Lane
+	group   *store.Group
+	hosts   *hosts.Client
 	workers *worker.Client
 	targets *target.Client
 	peers   *peers.Hub
@@ -59,6 +61,8 @@
 	waiting  map[int64]chan route.Ending
 	ticket   int64
 	stopping bool
+	// sequence tells two values of the host's row apart.
+	sequence int64
 	pollNow  chan struct{}
 	lost     chan error
 	sharing  sync.Mutex
@@ -74,9 +78,9 @@
 	conns  connections
 }
 
-// New returns a host that listens on the addresses of its settings but does
-// not serve before Run.
-func New(settings setng.Settings, log *zerolog.Logger) (*Host, error) {
+// New returns a host that keeps the shared state in the platform's store. It
+// listens on the addresses of its settings but does not serve before Run.
+func New(settings setng.Settings, log *zerolog.Logger, platform store.Store) (*Host, error) {
 	h := &Host{
 		settings:    settings,
 		incarnation: uuid.NewString(),
@@ -89,7 +93,8 @@
 		lost:        make(chan error, 4),
 	}
 	timing := settings.Timing
-	h.table = table.New(settings.Host.ID, settings.Platform.Table, timing.TableTimeout, &h.metrics.Table)
+	h.store = store.NewClient(platform, &h.metrics.Store)
+	h.hosts = hosts.New(settings.Host.ID, settings.Platform.Table, timing.TableTimeout)
 	h.workers = worker.New(settings.Host.ID, timing.WorkerTimeout)
 	h.targets = target.New(settings.Host.ID)
 	limits := route.DefaultLimits()
@@ -108,8 +113,8 @@
 }
 
 func (h *Host) addGauges() {
-	h.metrics.Gauge("table_up", func() float64 {
-		if h.table.Health() == table.Down {
+	h.metrics.Gauge("store_up", func() float64 {
+		if h.store.Health() == store.Down {
 			return 0
 		}
 		return 1
--- a/internal/edge/entry/operators.go
+++ b/internal/edge/entry/operators.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,10 +12,9 @@
 	"github.com/rattanshore/rattanshore/internal/core/membr"
 	"github.com/rattanshore/rattanshore/internal/core/rows"
 	"github.com/rattanshore/rattanshore/internal/core/sched"
-	"github.com/rattanshore/rattanshore/internal/edge/table"
+	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
 	"github.com/rattanshore/rattanshore/internal/wire/operat"
-	"github.com/rattanshore/rattanshore/internal/wire/plat"
 	"github.com/rattanshore/rattanshore/internal/wire/schema"
 )
 
@@ -64,14 +62,14 @@
 
 // trySetDomain reports whether the call has been answered.
 func (a operatorAPI) trySetDomain(ctx iris.Context, id string, change schema.DomainChange) bool {
-	row, err := a.table.Row(ctx.Request().Context(), rows.Domain(id))
+	row, err := a.readRow(ctx.Request().Context(), rows.Domain(id))
 	if err != nil {
 		a.failRead(ctx, err)
 		return true
 	}
 	old := schema.DomainStatus{ID: id, InService: true}
 	if row.Version > 0 {
-		if old, err = table.Decode[schema.DomainStatus](row); err != nil {
+		if old, err = decode[schema.DomainStatus](row); err != nil {
 			a.failRead(ctx, err)
 			return true
 		}
@@ -86,20 +84,20 @@
 		ID: id, InService: change.InService, Epoch: old.Epoch + 1,
 		ChangedAt: time.Now(), Reason: change.Reason,
 	}
-	outcome, err := a.write(ctx, table.Change{
-		Conditions: []plat.Condition{{Key: rows.Domain(id), Version: row.Version}},
-		Writes:     []plat.Write{{Key: rows.Domain(id), Value: table.Encode(status)}},
+	outcome, err := a.write(ctx, store.Change{
+		Expect: []store.Row{expected(rows.Domain(id), row.Version)},
+		Put:    []store.Row{rowOf(rows.Domain(id), status)},
 	})
 	if err != nil {
 		a.fail(ctx, failure(schema.OutcomeUnknown, "the command may have taken effect; list the failure domains to learn"))
 		return true
 	}
-	if !outcome.Committed {
+	if !outcome.Made {
 		return false
 	}
 	logev.DomainAccepted.Log(a.log).Str("failure-domain", id).Bool("in-service", status.InService).
 		Int64("epoch", status.Epoch).Str("reason", status.Reason).Send()
-	a.learnDomain(sched.Domain{Status: status, Version: outcome.Revision})
+	a.learnDomain(sched.Domain{Status: status, Version: outcome.Version})
 	a.shareChanges(false, true)
 	a.broadcast(schema.PeerMessage{})
 	a.reply(ctx, status)
@@ -151,8 +149,11 @@
 		a.fail(ctx, failure(schema.NotFound, "there is no worker %q", id))
 		return
 	}
-	write := plat.Write{Key: rows.Drain(id), Value: table.Encode(change), Delete: !change.Draining}
-	if _, err := a.write(ctx, table.Change{Writes: []plat.Write{write}}); err != nil {
+	write := store.Change{Put: []store.Row{rowOf(rows.Drain(id), change)}}
+	if !change.Draining {
+		write = store.Change{Remove: []store.Key{keyOf(rows.Drain(id))}}
+	}
+	if _, err := a.write(ctx, write); err != nil {
 		a.fail(ctx, failure(schema.OutcomeUnknown, "the order may have taken effect; list the workers to learn"))
 		return
 	}
@@ -170,7 +171,7 @@
 
 // GetConfig shows the configuration as the table has it.
 func (a operatorAPI) GetConfig(ctx iris.Context) {
-	row, err := a.table.Row(ctx.Request().Context(), rows.ConfigCurrent)
+	row, err := a.readRow(ctx.Request().Context(), rows.ConfigCurrent)
 	if err != nil {
 		a.failRead(ctx, err)
 		return
@@ -179,7 +180,7 @@
 		a.fail(ctx, failure(schema.NotFound, "there is no configuration yet"))
 		return
 	}
-	config, err := table.Decode[schema.ConfigVersion](row)
+	config, err := decode[schema.ConfigVersion](row)
 	if err != nil {
 		a.failRead(ctx, err)
 		return
@@ -193,7 +194,7 @@
 	if !ok {
 		return
 	}
-	if a.table.Health() == table.Down || a.isStopping() {
+	if a.store.Health() == store.Down || a.isStopping() {
 		a.unavailable(ctx)
 		return
 	}
@@ -210,14 +211,14 @@
 }
 
 func (a operatorAPI) commitConfig(ctx iris.Context, change schema.ConfigChange) {
-	row, err := a.table.Row(ctx.Request().Context(), rows.ConfigCurrent)
+	row, err := a.readRow(ctx.Request().Context(), rows.ConfigCurrent)
 	if err != nil {
 		a.failRead(ctx, err)
 		return
 	}
 	var current schema.ConfigVersion
 	if row.Version > 0 {
-		if current, err = table.Decode[schema.ConfigVersion](row); err != nil {
+		if current, err = decode[schema.ConfigVersion](row); err != nil {
 			a.failRead(ctx, err)
 			return
 		}
@@ -229,21 +230,18 @@
 	next := schema.ConfigVersion{
 		Version: current.Version + 1, Document: change.Document, By: change.By, ChangedAt: time.Now(),
 	}
-	outcome, err := a.write(ctx, table.Change{
-		Conditions: []plat.Condition{{Key: rows.ConfigCurrent, Version: row.Version}},
-		Writes: []plat.Write{
-			{Key: rows.ConfigCurrent, Value: table.Encode(next)},
-			{Key: rows.ConfigAt(next.Version), Value: table.Encode(next)},
-		},
+	outcome, err := a.write(ctx, store.Change{
+		Expect: []store.Row{expected(rows.ConfigCurrent, row.Version)},
+		Put:    []store.Row{rowOf(rows.ConfigCurrent, next), rowOf(rows.ConfigAt(next.Version), next)},
 	})
 	switch {
 	case err != nil:
 		a.fail(ctx, failure(schema.OutcomeUnknown, "the change may have been accepted; get the configuration to learn"))
-	case !outcome.Committed:
+	case !outcome.Made:
 		a.failConflict(ctx, change, current.Version+1)
 	default:
 		logev.ConfigAccepted.Log(a.log).Int64("config-version", next.Version).Str("by", next.By).Send()
-		a.shareChanges(a.view.learnConfig(next, outcome.Revision), false)
+		a.shareChanges(a.view.learnConfig(next, outcome.Version), false)
 		a.broadcast(schema.PeerMessage{})
 		a.reply(ctx, next)
 	}
@@ -258,17 +256,14 @@
 
 // ListConfigHistory shows the accepted configurations, newest first.
 func (a operatorAPI) ListConfigHistory(ctx iris.Context) {
-	result, err := a.table.Scan(ctx.Request().Context(), plat.Range{Prefix: rows.ConfigPrefix})
+	found, err := a.readRows(ctx.Request().Context(), rows.Configs, rows.ConfigPrefix)
 	if err != nil {
 		a.failRead(ctx, err)
 		return
 	}
 	history := schema.ConfigHistory{Versions: []schema.ConfigVersion{}}
-	for _, row := range slices.Backward(result.Rows) {
-		if strings.HasPrefix(row.Key, rows.ConfigCurrent) {
-			continue
-		}
-		if version, err := table.Decode[schema.ConfigVersion](row); err == nil {
+	for _, row := range slices.Backward(found) {
+		if version, ok := decodeOr[schema.ConfigVersion](a.log, row); ok {
 			history.Versions = append(history.Versions, version)
 		}
 	}
@@ -298,7 +293,7 @@
 		}
 	}
 	if r.ID == a.settings.Host.ID {
-		status.Table = string(a.table.Health())
+		status.Table = string(a.store.Health())
 		status.ConfigVersion = config.Version
 	}
 	return status
--- a/internal/edge/entry/poll.go
+++ b/internal/edge/entry/poll.go
@@ -2,18 +2,17 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"strings"
 	"time"
 
 	"github.com/rattanshore/rattanshore/internal/core/confg"
-	"github.com/rattanshore/rattanshore/internal/core/membr"
 	"github.com/rattanshore/rattanshore/internal/core/route"
 	"github.com/rattanshore/rattanshore/internal/core/rows"
 	"github.com/rattanshore/rattanshore/internal/core/sched"
-	"github.com/rattanshore/rattanshore/internal/edge/table"
+	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
-	"github.com/rattanshore/rattanshore/internal/wire/plat"
 	"github.com/rattanshore/rattanshore/internal/wire/schema"
 )
 
@@ -22,9 +21,10 @@
 func (h *Host) pollRows(ctx context.Context) {
 	ticker := time.NewTicker(h.settings.Timing.Poll)
 	defer ticker.Stop()
+	shared := newShared(h.store, h.log)
 	up := true
 	for ctx.Err() == nil {
-		err := h.readRows(ctx)
+		err := h.readShared(ctx, shared)
 		if ctx.Err() != nil {
 			return
 		}
@@ -58,46 +58,33 @@
 	}
 }
 
-func (h *Host) readRows(ctx context.Context) error {
+// readShared takes in what has changed of the shared rows.
+func (h *Host) readShared(ctx context.Context, shared *shared) error {
 	begin := time.Now()
-	_, known := h.view.currentConfig()
-	result, err := h.table.Scan(ctx,
-		plat.Range{Prefix: rows.HostPrefix},
-		plat.Range{Prefix: rows.ConfigCurrent, Exact: true, After: known},
-		plat.Range{Prefix: rows.DomainPrefix},
-		plat.Range{Prefix: rows.ShardPrefix},
-		plat.Range{Prefix: rows.DrainPrefix},
-	)
+	changed, whole, err := h.follow(ctx, shared.follower)
 	if err != nil {
 		return err
 	}
-	hosts := map[string]hostRow{}
-	leases := map[string]membr.Lease{}
-	drains := map[string]bool{}
+	if whole {
+		shared.clear()
+	}
 	domainsChanged, configChanged := false, false
-	for _, row := range result.Rows {
+	for _, row := range changed.Rows {
+		name := row.Key.Name
 		switch {
-		case strings.HasPrefix(row.Key, rows.HostPrefix):
-			if value, err := table.Decode[hostRow](row); err == nil {
-				hosts[value.ID] = value
-			}
-		case row.Key == rows.ConfigCurrent:
-			if value, err := table.Decode[schema.ConfigVersion](row); err == nil {
+		case name == rows.ConfigCurrent:
+			if value, ok := decodeOr[schema.ConfigVersion](h.log, row); ok {
 				configChanged = h.view.learnConfig(value, row.Version)
 			}
-		case strings.HasPrefix(row.Key, rows.DomainPrefix):
-			if value, err := table.Decode[schema.DomainStatus](row); err == nil {
+		case strings.HasPrefix(name, rows.DomainPrefix):
+			if value, ok := decodeOr[schema.DomainStatus](h.log, row); ok {
 				domainsChanged = h.learnDomain(sched.Domain{Status: value, Version: row.Version}) || domainsChanged
 			}
-		case strings.HasPrefix(row.Key, rows.ShardPrefix):
-			if value, err := table.Decode[shardRow](row); err == nil {
-				leases[value.Shard] = value.lease(row.Version)
-			}
-		case strings.HasPrefix(row.Key, rows.DrainPrefix):
-			drains[strings.TrimPrefix(row.Key, rows.DrainPrefix)] = true
+		default:
+			shared.learn(row)
 		}
 	}
-	h.view.setRows(hosts, leases, drains)
+	h.view.setRows(maps.Clone(shared.hosts), maps.Clone(shared.leases), maps.Clone(shared.drains))
 	h.shareChanges(configChanged, domainsChanged)
 	h.view.setReadAt(begin)
 	h.linkPeers(ctx)
@@ -161,7 +148,7 @@
 	if h.view.setFresh(fresh, reason) {
 		h.logStanding(fresh, reason)
 	}
-	h.router.Send(route.StandingMsg{FreshUntil: until, Claims: h.table.Health() != table.Down})
+	h.router.Send(route.StandingMsg{FreshUntil: until, Claims: h.store.Health() != store.Down})
 }
 
 func (h *Host) logStanding(fresh bool, reason string) {
@@ -177,7 +164,7 @@
 	ticker := time.NewTicker(h.settings.Timing.HostListPoll)
 	defer ticker.Stop()
 	for {
-		if list, err := h.table.Hosts(ctx); err == nil {
+		if list, err := h.hosts.List(ctx); err == nil {
 			h.view.setListed(list.Hosts)
 			h.router.Send(route.TargetsMsg{Targets: h.view.targets()})
 			for _, o := range h.owners() {
--- /dev/null
+++ b/internal/edge/entry/rows.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattanshore/rattanshore/internal/core/rows"
+	"github.com/rattanshore/rattanshore/internal/edge/store"
+	"github.com/rattanshore/rattanshore/internal/ops/logev"
+)
+
+// readTimeouts is how many times a call's usual timeout a reading may take
+// with all its tries.
+const readTimeouts = 3
+
+// keyOf returns the key of the row of a name.
+func keyOf(name string) store.Key {
+	return store.Key{Table: rows.Table(name), Name: name}
+}
+
+// rowOf returns a row with the stored form of a value.
+func rowOf(name string, value any) store.Row {
+	return store.Row{Key: keyOf(name), Value: encode(value)}
+}
+
+// expected names a row and the version that it must have; 0 means absent.
+func expected(name string, version int64) store.Row {
+	return store.Row{Key: keyOf(name), Version: version}
+}
+
+// encode returns the stored form of a value.
+func encode(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic("row value cannot be encoded: " + err.Error())
+	}
+	return data
+}
+
+// decode reads a row's value.
+func decode[T any](row store.Row) (T, error) {
+	var value T
+	err := json.Unmarshal(row.Value, &value)
+	return value, err
+}
+
+// decodeOr reads a row's value. A row that cannot be read is logged and left
+// aside.
+func decodeOr[T any](log *zerolog.Logger, row store.Row) (T, bool) {
+	value, err := decode[T](row)
+	if err != nil {
+		logev.RowSkipped.Log(log).Str("table", row.Key.Table).Str("row", row.Key.Name).Err(err).Send()
+	}
+	return value, err == nil
+}
+
+// readRow reads one row, which has version 0 if it is absent.
+func (h *Host) readRow(ctx context.Context, name string) (store.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeouts*h.settings.Timing.TableTimeout)
+	defer cancel()
+	return h.store.Read(ctx, keyOf(name))
+}
+
+// readRows reads the rows of a table whose names begin with a prefix.
+func (h *Host) readRows(ctx context.Context, table, prefix string) ([]store.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeouts*h.settings.Timing.TableTimeout)
+	defer cancel()
+	found, err := h.store.ReadAll(ctx, table, prefix)
+	return found.Rows, err
+}
+
+// follow reads what a follower has not seen yet.
+func (h *Host) follow(ctx context.Context, f *store.Follower) (store.Rows, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeouts*h.settings.Timing.TableTimeout)
+	defer cancel()
+	return f.Next(ctx)
+}
--- a/internal/edge/entry/session.go
+++ b/internal/edge/entry/session.go
@@ -8,11 +8,12 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rattanshore/rattanshore/internal/core/rows"
-	"github.com/rattanshore/rattanshore/internal/edge/table"
+	"github.com/rattanshore/rattanshore/internal/edge/store"
 )
 
 // hostRow is the value of a host's session row.
 type hostRow struct {
+	Sequence      int64          `json:"sequence"`
 	ID            string         `json:"id"`
 	Incarnation   string         `json:"incarnation"`
 	Peer          netip.AddrPort `json:"peer"`
@@ -31,12 +32,12 @@
 // service if need be. The row's first write then fences off an earlier
 // process of the same host.
 func (h *Host) openSession(ctx context.Context) error {
-	key := rows.Host(h.settings.Host.ID)
+	name := rows.Host(h.settings.Host.ID)
 	for {
-		row, err := h.table.Row(ctx, key)
+		row, err := h.readRow(ctx, name)
 		if err == nil {
-			h.lane = table.NewLane(h.table, key, row.Version)
-			h.group = table.NewGroup(h.lane, h.hostRow)
+			h.lane = store.NewLane(h.store, row.Key, row.Version)
+			h.group = store.NewGroup(h.lane, h.hostRow)
 			return nil
 		}
 		select {
@@ -57,7 +58,8 @@
 }
 
 func (h *Host) rowUntil(expiry time.Time) []byte {
-	return table.Encode(hostRow{
+	return encode(hostRow{
+		Sequence:      h.nextSequence(),
 		ID:            h.settings.Host.ID,
 		Incarnation:   h.incarnation,
 		Peer:          h.Peers(),
@@ -70,6 +72,13 @@
 	})
 }
 
+func (h *Host) nextSequence() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sequence++
+	return h.sequence
+}
+
 // runSession renews the session and commits the group's changes with it.
 func (h *Host) runSession(ctx context.Context) {
 	h.goDo(func() {
@@ -86,7 +95,7 @@
 		}
 	})
 	err := h.group.Run(ctx)
-	if errors.Is(err, table.ErrFenced) {
+	if errors.Is(err, store.ErrFenced) {
 		h.lost <- errors.Mark(err, ErrSessionLost)
 	}
 }
--- a/internal/edge/entry/shard.go
+++ b/internal/edge/entry/shard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"time"
 
@@ -11,9 +10,8 @@
 	"github.com/rattanshore/rattanshore/internal/core/rows"
 	"github.com/rattanshore/rattanshore/internal/core/sched"
 	"github.com/rattanshore/rattanshore/internal/edge/runner"
-	"github.com/rattanshore/rattanshore/internal/edge/table"
+	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
-	"github.com/rattanshore/rattanshore/internal/wire/plat"
 	"github.com/rattanshore/rattanshore/internal/wire/schema"
 )
 
@@ -21,6 +19,7 @@
 
 // shardRow is the value of a shard's row.
 type shardRow struct {
+	Sequence    int64     `json:"sequence"`
 	Shard       string    `json:"shard"`
 	Owner       string    `json:"owner"`
 	Incarnation string    `json:"incarnation"`
@@ -40,15 +39,17 @@
 	host   *Host
 	shard  string
 	epoch  int64
-	lane   *table.Lane
+	lane   *store.Lane
 	runner *scheduler
 	cancel context.CancelFunc
 	// apply writes the shard's row and job rows. It outlives the runner, so
 	// that a commit under way at a hand-over is finished and not left open.
-	apply func(table.Change) (table.Outcome, error)
+	apply func(store.Change) (store.Outcome, error)
 	poll  chan struct{}
-	// seen is the revision up to which jobs and cancellations were read.
-	seen int64
+	// jobs follows the rows of jobs and cancellations.
+	jobs *store.Follower
+	// sequence tells two values of the shard's row apart; its lane uses it.
+	sequence int64
 }
 
 func (h *Host) owners() []*owner {
@@ -83,7 +84,7 @@
 // takeShards tries to take the shards that this host should own and nobody
 // does.
 func (h *Host) takeShards(ctx context.Context) {
-	if h.isStopping() || !h.view.isPolled() || h.table.Health() == table.Down {
+	if h.isStopping() || !h.view.isPolled() || h.store.Health() == store.Down {
 		return
 	}
 	config, _ := h.view.currentConfig()
@@ -101,16 +102,17 @@
 
 func (h *Host) takeShard(ctx context.Context, l membr.Lease) {
 	o := &owner{host: h, shard: l.Shard, epoch: l.Epoch + 1, poll: make(chan struct{}, 1)}
-	o.lane = table.NewLane(h.table, rows.Shard(l.Shard), l.Version)
+	o.lane = store.NewLane(h.store, keyOf(rows.Shard(l.Shard)), l.Version)
+	o.jobs = store.NewFollower(h.store, rows.ShardJobs)
 	call, cancelCall := context.WithTimeout(ctx, h.settings.Timing.ShardLease)
 	defer cancelCall()
-	if outcome, err := o.lane.Apply(call, table.Change{}, o.row); err != nil || !outcome.Committed {
+	if outcome, err := o.lane.Apply(call, store.Change{}, o.row); err != nil || !outcome.Made {
 		return
 	}
 	logev.ShardTaken.Log(h.log).Str("shard", o.shard).Int64("epoch", o.epoch).Str("from", l.Owner).Send()
 	child, cancel := context.WithCancel(ctx)
 	o.cancel = cancel
-	o.apply = func(c table.Change) (table.Outcome, error) { return o.lane.Apply(ctx, c, o.row) }
+	o.apply = func(c store.Change) (store.Outcome, error) { return o.lane.Apply(ctx, c, o.row) }
 	model := sched.New(sched.Shard{Name: o.shard, Epoch: o.epoch}, block.BestFit{}, h.schedTiming())
 	o.runner = runner.New(model, o.execute, time.Now, sched.Msg(sched.TickMsg{}))
 	h.mu.Lock()
@@ -136,7 +138,9 @@
 }
 
 func (o *owner) row() []byte {
-	return table.Encode(shardRow{
+	o.sequence++
+	return encode(shardRow{
+		Sequence:    o.sequence,
 		Shard:       o.shard,
 		Owner:       o.host.settings.Host.ID,
 		Incarnation: o.host.incarnation,
@@ -147,7 +151,7 @@
 
 // freeRow is the shard's row once it is given up.
 func (o *owner) freeRow() []byte {
-	return table.Encode(shardRow{Shard: o.shard, Epoch: o.epoch, ExpiresAt: time.Now()})
+	return encode(shardRow{Shard: o.shard, Epoch: o.epoch, ExpiresAt: time.Now()})
 }
 
 // feed gives the scheduler the rows that existed at takeover, and then those
@@ -172,29 +176,30 @@
 }
 
 func (o *owner) readNew(ctx context.Context) error {
-	result, err := o.host.table.Scan(ctx,
-		plat.Range{Prefix: rows.Jobs(o.shard), After: o.seen},
-		plat.Range{Prefix: rows.Cancels(o.shard), After: o.seen},
-	)
+	changed, _, err := o.host.follow(ctx, o.jobs)
 	if err != nil {
 		return err
 	}
-	for _, row := range result.Rows {
-		if strings.HasPrefix(row.Key, rows.CancelPrefix) {
-			o.runner.Send(sched.CancelMsg{ID: strings.TrimPrefix(row.Key, rows.Cancels(o.shard))})
-			continue
+	for _, row := range changed.Rows {
+		if strings.HasPrefix(row.Key.Name, rows.Jobs(o.shard)) && !row.Deleted {
+			o.sendJob(row)
 		}
-		job, err := table.Decode[schema.JobStatus](row)
-		if err != nil {
-			logev.InternalProblem.Log(o.host.log).Str("row", row.Key).Err(err).Send()
-			continue
+	}
+	// A cancellation must not reach the scheduler before its job.
+	for _, row := range changed.Rows {
+		if id, ok := strings.CutPrefix(row.Key.Name, rows.Cancels(o.shard)); ok && !row.Deleted {
+			o.runner.Send(sched.CancelMsg{ID: id})
 		}
-		o.runner.Send(sched.JobMsg{Job: job})
 	}
-	o.seen = result.Revision
 	return nil
 }
 
+func (o *owner) sendJob(row store.Row) {
+	if job, ok := decodeOr[schema.JobStatus](o.host.log, row); ok {
+		o.runner.Send(sched.JobMsg{Job: job})
+	}
+}
+
 // execute carries out one command of the scheduler.
 func (o *owner) execute(ctx context.Context, cmd sched.Cmd) {
 	switch cmd := cmd.(type) {
@@ -217,40 +222,37 @@
 }
 
 func (o *owner) commit(cmd sched.CommitCmd) {
-	change := table.Change{Conditions: cmd.Conditions}
+	var change store.Change
+	for _, c := range cmd.Conditions {
+		change.Expect = append(change.Expect, expected(c.Row, c.Version))
+	}
 	for _, j := range cmd.Jobs {
-		change.Writes = append(change.Writes, o.jobWrites(j)...)
+		o.addJob(&change, j)
 	}
 	for _, id := range cmd.Cleared {
-		change.Writes = append(change.Writes, plat.Write{Key: rows.Cancel(o.shard, id), Delete: true})
+		change.Remove = append(change.Remove, keyOf(rows.Cancel(o.shard, id)))
 	}
 	outcome, err := o.apply(change)
 	if err != nil {
 		o.stepDown(err.Error())
 		return
 	}
-	if !outcome.Committed {
+	if !outcome.Made {
 		o.host.nudgePoll()
 	}
-	o.runner.Send(sched.CommittedMsg{Batch: cmd.Batch, Committed: outcome.Committed, FailedKeys: outcome.FailedKeys})
+	o.runner.Send(sched.CommittedMsg{Batch: cmd.Batch, Committed: outcome.Made})
 }
 
-// jobWrites moves a job that has ended to the rows of past jobs, so that a
-// takeover reads only what is alive.
-func (o *owner) jobWrites(j schema.JobStatus) []plat.Write {
-	value, err := json.Marshal(j)
-	if err != nil {
-		logev.InternalProblem.Log(o.host.log).Str("job", j.Spec.ID).Err(err).Send()
-		return nil
-	}
-	key := rows.Job(o.shard, j.Spec.ID)
+// addJob adds a job's row to a change. A job that has ended moves to the rows
+// of past jobs, so that a takeover reads only what is alive.
+func (o *owner) addJob(change *store.Change, j schema.JobStatus) {
+	name := rows.Job(o.shard, j.Spec.ID)
 	if j.State == schema.Waiting || j.State == schema.Running {
-		return []plat.Write{{Key: key, Value: value}}
-	}
-	return []plat.Write{
-		{Key: key, Delete: true},
-		{Key: rows.Past(o.shard, j.Spec.ID), Value: value},
+		change.Put = append(change.Put, rowOf(name, j))
+		return
 	}
+	change.Remove = append(change.Remove, keyOf(name))
+	change.Put = append(change.Put, rowOf(rows.Past(o.shard, j.Spec.ID), j))
 }
 
 // stepDown stops deciding for the shard.
--- a/internal/edge/entry/stop.go
+++ b/internal/edge/entry/stop.go
@@ -47,7 +47,7 @@
 	case <-recorded:
 	case <-ctx.Done():
 	}
-	if _, err := h.lane.Retire(ctx, h.endedRow); err != nil {
+	if err := h.lane.Retire(ctx, h.endedRow); err != nil {
 		logev.SessionLost.Log(h.log).Err(err).Msg("the session was not closed and will lapse")
 	}
 }
@@ -102,8 +102,7 @@
 	h.mu.Lock()
 	delete(h.owned, o.shard)
 	h.mu.Unlock()
-	outcome, err := o.lane.Retire(ctx, o.freeRow)
-	if err != nil || !outcome.Committed {
+	if err := o.lane.Retire(ctx, o.freeRow); err != nil {
 		logev.ShardLost.Log(h.log).Str("shard", o.shard).Int64("epoch", o.epoch).Err(err).Send()
 		return
 	}
--- a/internal/edge/fleet/host_test.go
+++ b/internal/edge/fleet/host_test.go
@@ -41,7 +41,7 @@
 	settings.Timing.DrainNotice = 50 * time.Millisecond
 	settings.Timing.KeyAge = 2 * time.Second
 	log, meter, steady := zerolog.Nop(), metrc.NewFleet(), clock.New()
-	rows := store.NewClient(platform.NewStore(settings.Store), meter)
+	rows := store.NewClient(platform.NewStore(settings.Store, settings.Host.ID), &meter.Store)
 	h := fleet.New(settings, &log, meter, steady.Now, rows, platform.NewWorkers(steady.Now), platform.NewDirectory(rows))
 	ingress := platform.NewIngress(h.Front(), steady.Now)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/edge/fleet/lead.go
+++ b/internal/edge/fleet/lead.go
@@ -103,7 +103,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaderCall)
 	defer cancel()
-	if err := lane.Apply(ctx, store.Change{}, value); err != nil {
+	if _, err := lane.Apply(ctx, store.Change{}, constant(value)); err != nil {
 		logev.TakeoverFailed.Log(h.log).Int64("epoch", leader.Epoch).Int64("row-version", row.Version).Err(err).Send()
 		return 0, nil, false
 	}
@@ -112,6 +112,11 @@
 	return leader.Epoch, lane, true
 }
 
+// constant returns a lane value that is the same at every try.
+func constant(value []byte) func() []byte {
+	return func() []byte { return value }
+}
+
 func (h *Host) leader(epoch, sequence int64) record.Leader {
 	return record.Leader{Host: h.settings.Host.ID, Incarnation: h.incarnation, Epoch: epoch, Sequence: sequence}
 }
--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -305,7 +305,8 @@
 	if err != nil {
 		return err
 	}
-	return s.lane.Apply(ctx, change, value)
+	_, err = s.lane.Apply(ctx, change, constant(value))
+	return err
 }
 
 // handOver leaves the leader's row without a holder, so that a successor need
@@ -316,7 +317,7 @@
 	s.sequence++
 	value, err := encode(record.Leader{Incarnation: s.host.incarnation, Epoch: s.epoch, Sequence: s.sequence})
 	if err == nil {
-		err = s.lane.Apply(ctx, store.Change{}, value)
+		err = s.lane.Retire(ctx, constant(value))
 	}
 	logev.LeaderGivenUp.Log(s.host.log).Int64("epoch", s.epoch).Err(err).Send()
 }
--- a/internal/edge/store/retry.go
+++ b/internal/edge/store/client.go
@@ -1,10 +1,8 @@
 package store
 
 import (
-	"bytes"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -27,35 +25,94 @@
 	latencyWeight = 0.2
 )
 
+// slowAfter is the time after which an answer counts as slow.
+const slowAfter = 500 * time.Millisecond
+
+// Health is the state of the store as a client sees it.
+type Health string
+
+// The states of the store.
+const (
+	Reachable Health = "reachable"
+	Slow      Health = "slow"
+	Down      Health = "down"
+)
+
 // Client repeats calls to a store until their outcome is certain. It learns
 // how long the store takes.
 type Client struct {
-	Store
-	meter *metrc.Fleet
+	backend Store
+	meter   *metrc.Store
 	// usual is the mean time of a call, in nanoseconds.
 	usual atomic.Int64
+	heard atomic.Bool
+	// failed and slow tell of the newest call.
+	failed atomic.Bool
+	slow   atomic.Bool
 }
 
 // NewClient returns a client of the store that counts its calls.
-func NewClient(s Store, meter *metrc.Fleet) *Client {
-	return &Client{Store: s, meter: meter}
+func NewClient(s Store, meter *metrc.Store) *Client {
+	return &Client{backend: s, meter: meter}
+}
+
+// Health returns the state of the store by the newest call.
+func (c *Client) Health() Health {
+	switch {
+	case c.failed.Load() || !c.heard.Load():
+		return Down
+	case c.slow.Load():
+		return Slow
+	default:
+		return Reachable
+	}
 }
 
-// done takes in the end of a call.
-func (c *Client) done(begin time.Time, err error) {
-	c.meter.StoreCalls.Inc()
-	if err != nil {
-		c.meter.StoreFailed.Inc()
-		return
-	}
-	c.meter.StoreTime.UpdateDuration(begin)
-	c.took(begin)
+// Transact implements Store.
+func (c *Client) Transact(ctx context.Context, change Change) (Outcome, error) {
+	c.meter.Writes.Inc()
+	c.meter.RowsWritten.Add(len(change.Put) + len(change.Remove))
+	begin := time.Now()
+	outcome, err := c.backend.Transact(ctx, change)
+	c.done(begin, 0, err)
+	return outcome, err
+}
+
+// Range implements Store.
+func (c *Client) Range(ctx context.Context, table, from, to string, limit int) (Rows, error) {
+	c.meter.Reads.Inc()
+	begin := time.Now()
+	rows, err := c.backend.Range(ctx, table, from, to, limit)
+	c.done(begin, 0, err)
+	return rows, err
+}
+
+// Changes implements Store.
+func (c *Client) Changes(ctx context.Context, table string, after int64, wait time.Duration) (Rows, error) {
+	c.meter.Reads.Inc()
+	begin := time.Now()
+	rows, err := c.backend.Changes(ctx, table, after, wait)
+	c.done(begin, wait, err)
+	return rows, err
 }
 
-// took takes in how long a call took that was answered.
-func (c *Client) took(begin time.Time) {
+// done takes in the end of a call that the store might hold back.
+func (c *Client) done(begin time.Time, wait time.Duration, err error) {
+	answered := err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrRejected)
+	c.failed.Store(!answered)
+	if !answered {
+		c.meter.Failures.Inc()
+		return
+	}
+	c.heard.Store(true)
+	if wait > 0 {
+		return
+	}
+	took := time.Since(begin)
+	c.slow.Store(took > slowAfter)
+	c.meter.Latency.Update(took.Seconds())
 	usual := c.usual.Load()
-	c.usual.Store(usual + int64(latencyWeight*float64(int64(time.Since(begin))-usual)))
+	c.usual.Store(usual + int64(latencyWeight*float64(int64(took)-usual)))
 }
 
 // Usual returns how long a call to the store usually takes.
@@ -84,10 +141,7 @@
 func (c *Client) transact(ctx context.Context, t *tries, change Change) (Outcome, error) {
 	try, cancel := t.next(ctx)
 	defer cancel()
-	begin := time.Now()
-	outcome, err := c.Transact(try, change)
-	c.done(begin, err)
-	return outcome, err
+	return c.Transact(try, change)
 }
 
 // rest waits before the next try.
@@ -105,24 +159,43 @@
 // Read returns one row, which has version 0 if it is absent. It tries until
 // ctx ends.
 func (c *Client) Read(ctx context.Context, key Key) (Row, error) {
+	rows, err := c.repeat(ctx, func(try context.Context) (Rows, error) {
+		return c.Range(try, key.Table, key.Name, key.Name+"\x00", 1)
+	})
+	if err != nil || len(rows.Rows) == 0 {
+		return Row{Key: key}, err
+	}
+	return rows.Rows[0], nil
+}
+
+// ReadAll returns the rows of a table whose names begin with the prefix. It
+// tries until ctx ends.
+func (c *Client) ReadAll(ctx context.Context, table, prefix string) (Rows, error) {
+	return c.repeat(ctx, func(try context.Context) (Rows, error) {
+		return Scan(try, c, table, prefix, after(prefix))
+	})
+}
+
+// after returns the first name after all that begin with the prefix, whose last
+// character is taken to be plain ASCII.
+func after(prefix string) string {
+	if prefix == "" {
+		return ""
+	}
+	last := len(prefix) - 1
+	return prefix[:last] + string(prefix[last]+1)
+}
+
+// repeat makes a reading call until it is answered or ctx ends.
+func (c *Client) repeat(ctx context.Context, call func(context.Context) (Rows, error)) (Rows, error) {
 	t := c.newTries()
 	for {
 		try, cancel := t.next(ctx)
-		begin := time.Now()
-		rows, err := c.Range(try, key.Table, key.Name, key.Name+"\x00", 1)
+		rows, err := call(try)
 		cancel()
-		c.done(begin, err)
-		if err == nil {
-			if len(rows.Rows) == 0 {
-				return Row{Key: key}, nil
-			}
-			return rows.Rows[0], nil
-		}
-		if errors.Is(err, ErrRejected) {
-			return Row{}, err
-		}
-		if t.rest(ctx) != nil {
-			return Row{}, err
+		final := err == nil || errors.Is(err, ErrRejected) || errors.Is(err, ErrHistoryGone)
+		if final || t.rest(ctx) != nil {
+			return rows, err
 		}
 	}
 }
@@ -169,57 +242,3 @@
 	}
 	return Row{Key: key}
 }
-
-// Lane is the sequence of changes of one writer. Each of them requires the
-// lane's own row to be as the one before left it, and writes it again. So a
-// repeated change is made at most once, one that the network delays cannot be
-// made after a later one, and a writer whose row another has written is fenced.
-type Lane struct {
-	client  *Client
-	key     Key
-	version int64
-	// given is the value of a change that was given up while it was under way,
-	// so that it may have been made.
-	given []byte
-}
-
-// NewLane returns a lane on a row with its present version.
-func NewLane(c *Client, key Key, version int64) *Lane {
-	return &Lane{client: c, key: key, version: version}
-}
-
-// Apply makes a change together with the lane's row, which gets the value. No
-// two changes may have the same value. It repeats the change until its outcome
-// is certain, and returns ErrFenced when another has written the row.
-func (l *Lane) Apply(ctx context.Context, change Change, value []byte) error {
-	expect, put := change.Expect, change.Put
-	t := l.client.newTries()
-	for {
-		change.Expect = append(slices.Clone(expect), Row{Key: l.key, Version: l.version})
-		change.Put = append(slices.Clone(put), Row{Key: l.key, Value: value})
-		outcome, err := l.client.transact(ctx, &t, change)
-		switch {
-		case err == nil && outcome.Made:
-			l.version, l.given = outcome.Version, nil
-			return nil
-		case err == nil:
-			now := current(outcome, l.key)
-			switch {
-			case now.Version != l.version && bytes.Equal(now.Value, value):
-				l.version, l.given = now.Version, nil
-				return nil
-			case now.Version != l.version && l.given != nil && bytes.Equal(now.Value, l.given):
-				l.version, l.given = now.Version, nil
-				continue
-			default:
-				return ErrFenced
-			}
-		case errors.Is(err, ErrRejected):
-			return err
-		}
-		if t.rest(ctx) != nil {
-			l.given = value
-			return err
-		}
-	}
-}
--- a/internal/edge/table/group.go
+++ b/internal/edge/store/group.go
@@ -1,19 +1,17 @@
-package table
+package store
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"sync"
-
-	"github.com/rattanshore/rattanshore/internal/wire/plat"
 )
 
-// maxGroup is the largest number of changes in one transaction.
-const maxGroup = 256
+// maxEntries is the largest number of expected and written rows that a group
+// puts into one change; the platform takes a hundred, and the lane needs two.
+const maxEntries = 96
 
-// Group commits changes that wait at the same time in one transaction of a
-// lane. Changes whose conditions fail are told so and the rest goes on.
+// Group makes changes that wait at the same time in one transaction of a lane.
+// Changes whose expectations fail are told so and the rest goes on.
 type Group struct {
 	lane  *Lane
 	value func() []byte
@@ -38,7 +36,7 @@
 	return &Group{lane: lane, value: value, wake: make(chan struct{}, 1)}
 }
 
-// Apply waits until the change has taken effect or certainly has not. When ctx
+// Apply waits until the change has been made or certainly has not. When ctx
 // ends first the change's outcome is open to the caller, and Apply returns
 // the context's error; the group goes on with it.
 func (g *Group) Apply(ctx context.Context, change Change) (Outcome, error) {
@@ -72,7 +70,7 @@
 	}
 }
 
-// Run commits until ctx ends or the lane is fenced, which it returns.
+// Run makes changes until ctx ends or the lane is fenced, which it returns.
 func (g *Group) Run(ctx context.Context) error {
 	for {
 		select {
@@ -94,14 +92,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var batch, rest []*pending
-	seen := map[string]bool{}
+	seen := map[Key]bool{}
+	entries := 0
 	for _, p := range g.waiting {
-		if len(batch) >= maxGroup || overlaps(seen, p.change) {
+		size := p.change.entries()
+		if len(batch) > 0 && entries+size > maxEntries || overlaps(seen, p.change) {
 			rest = append(rest, p)
 			continue
 		}
-		for _, w := range p.change.Writes {
-			seen[w.Key] = true
+		entries += size
+		for _, key := range p.change.touched() {
+			seen[key] = true
 		}
 		batch = append(batch, p)
 	}
@@ -109,8 +110,22 @@
 	return batch
 }
 
-func overlaps(seen map[string]bool, change Change) bool {
-	return slices.ContainsFunc(change.Writes, func(w plat.Write) bool { return seen[w.Key] })
+// entries returns how many entries of a transaction the change takes.
+func (c Change) entries() int {
+	return len(c.Expect) + len(c.Put) + len(c.Remove)
+}
+
+// touched returns the rows that the change writes or removes.
+func (c Change) touched() []Key {
+	keys := slices.Clone(c.Remove)
+	for _, r := range c.Put {
+		keys = append(keys, r.Key)
+	}
+	return keys
+}
+
+func overlaps(seen map[Key]bool, change Change) bool {
+	return slices.ContainsFunc(change.touched(), func(k Key) bool { return seen[k] })
 }
 
 func (g *Group) commit(ctx context.Context, batch []*pending) error {
@@ -120,44 +135,41 @@
 			answer(batch, groupResult{err: err})
 			return err
 		}
-		if outcome.Committed {
+		if outcome.Made {
 			answer(batch, groupResult{outcome: outcome})
 			return nil
 		}
-		batch = g.dropFailed(batch, outcome.FailedKeys)
+		batch = dropFailed(batch, outcome)
 	}
 	return nil
 }
 
-// dropFailed tells the changes whose conditions failed and returns the rest.
-func (g *Group) dropFailed(batch []*pending, failed []string) []*pending {
+// dropFailed tells the changes whose expectations failed and returns the rest.
+func dropFailed(batch []*pending, outcome Outcome) []*pending {
 	var rest []*pending
 	for _, p := range batch {
-		keys := failedOf(p.change, failed)
-		if len(keys) == 0 {
-			rest = append(rest, p)
+		if p.change.fails(outcome) {
+			p.result <- groupResult{outcome: outcome}
 			continue
 		}
-		p.result <- groupResult{outcome: Outcome{FailedKeys: keys}}
+		rest = append(rest, p)
 	}
 	return rest
 }
 
-func failedOf(change Change, failed []string) []string {
-	var keys []string
-	for _, c := range change.Conditions {
-		if slices.Contains(failed, c.Key) {
-			keys = append(keys, c.Key)
-		}
-	}
-	return keys
+// fails reports whether a row is not as the change expects.
+func (c Change) fails(outcome Outcome) bool {
+	return slices.ContainsFunc(c.Expect, func(e Row) bool {
+		return current(outcome, e.Key).Version != e.Version
+	})
 }
 
 func merge(batch []*pending) Change {
 	var all Change
 	for _, p := range batch {
-		all.Conditions = append(all.Conditions, p.change.Conditions...)
-		all.Writes = append(all.Writes, p.change.Writes...)
+		all.Expect = append(all.Expect, p.change.Expect...)
+		all.Put = append(all.Put, p.change.Put...)
+		all.Remove = append(all.Remove, p.change.Remove...)
 	}
 	return all
 }
@@ -167,19 +179,3 @@
 		p.result <- r
 	}
 }
-
-// Encode returns the JSON form of a row's value.
-func Encode(value any) []byte {
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic("row value cannot be encoded: " + err.Error())
-	}
-	return data
-}
-
-// Decode reads a row's value.
-func Decode[T any](row plat.Row) (T, error) {
-	var value T
-	err := json.Unmarshal(row.Value, &value)
-	return value, err
-}
--- /dev/null
+++ b/internal/edge/store/lane.go
@@ -0,0 +1,111 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Lane is the sequence of changes of one writer. Each of them requires the
+// lane's own row to be as the one before left it, and writes it again. So a
+// repeated change is made at most once, one that the network delays cannot be
+// made after a later one, and a writer whose row another has written is fenced.
+type Lane struct {
+	client *Client
+	key    Key
+
+	mu      sync.Mutex
+	version int64
+	fenced  bool
+	// given holds the values of a change that was given up while it was under
+	// way, so that it may have been made.
+	given [][]byte
+}
+
+// NewLane returns a lane on a row with its present version.
+func NewLane(c *Client, key Key, version int64) *Lane {
+	return &Lane{client: c, key: key, version: version}
+}
+
+// Apply makes a change together with the lane's row, whose new value is asked
+// for before each try; no two changes may have the same value. It repeats the
+// change until its outcome is certain. The outcome is that it was not made if
+// another expected row was different. ErrFenced says that another writer has
+// written the lane's row.
+func (l *Lane) Apply(ctx context.Context, change Change, value func() []byte) (Outcome, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.apply(ctx, change, value)
+}
+
+// Retire writes the lane's row a last time. Nothing is written after it.
+func (l *Lane) Retire(ctx context.Context, value func() []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, err := l.apply(ctx, Change{}, value)
+	l.fenced = true
+	return err
+}
+
+func (l *Lane) apply(ctx context.Context, change Change, value func() []byte) (Outcome, error) {
+	var tried [][]byte
+	expect, put := change.Expect, change.Put
+	t := l.client.newTries()
+	for {
+		if l.fenced {
+			return Outcome{}, ErrFenced
+		}
+		tried = append(tried, value())
+		change.Expect = append(slices.Clone(expect), Row{Key: l.key, Version: l.version})
+		change.Put = append(slices.Clone(put), Row{Key: l.key, Value: tried[len(tried)-1]})
+		outcome, err := l.client.transact(ctx, &t, change)
+		if err == nil && outcome.Made {
+			l.moved(outcome.Version)
+			return outcome, nil
+		}
+		if err == nil {
+			settled, over := l.settle(outcome, tried)
+			if over {
+				return settled, nil
+			}
+			continue
+		}
+		if errors.Is(err, ErrRejected) {
+			return Outcome{}, err
+		}
+		if t.rest(ctx) != nil {
+			l.given = append(l.given, tried...)
+			return Outcome{}, err
+		}
+	}
+}
+
+// settle works out from the lane's row as it is what became of a change that
+// was not made at its newest try. It is not over if an earlier change of this
+// lane has turned out to be made, or if the lane is fenced.
+func (l *Lane) settle(outcome Outcome, tried [][]byte) (Outcome, bool) {
+	now := current(outcome, l.key)
+	switch {
+	case now.Version == l.version:
+		return outcome, true
+	case holds(tried, now.Value):
+		l.moved(now.Version)
+		return Outcome{Made: true, Version: now.Version}, true
+	case holds(l.given, now.Value):
+		l.moved(now.Version)
+	default:
+		l.fenced = true
+	}
+	return Outcome{}, false
+}
+
+func (l *Lane) moved(version int64) {
+	l.version, l.given = version, nil
+}
+
+func holds(values [][]byte, value []byte) bool {
+	return slices.ContainsFunc(values, func(v []byte) bool { return bytes.Equal(v, value) })
+}
--- a/internal/edge/table/main_test.go
+++ b/internal/edge/store/main_test.go
@@ -1,4 +1,4 @@
-package table_test
+package store_test
 
 import (
 	"testing"
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-func TestTable(t *testing.T) {
+func TestStore(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "table")
+	RunSpecs(t, "store")
 }
--- /dev/null
+++ b/internal/edge/store/store_test.go
@@ -0,0 +1,201 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanshore/rattanshore/internal/edge/store"
+	"github.com/rattanshore/rattanshore/internal/fakes/faults"
+	"github.com/rattanshore/rattanshore/internal/fakes/tables"
+	"github.com/rattanshore/rattanshore/internal/ops/metrc"
+	"github.com/rattanshore/rattanshore/platform"
+)
+
+// server is a stand-in of the store with a client of it.
+type server struct {
+	board  *faults.Board
+	rows   *tables.Table
+	client *store.Client
+}
+
+func newServer() *server {
+	board := faults.New()
+	rows := tables.New(board)
+	http := httptest.NewServer(rows.Handler())
+	DeferCleanup(http.Close)
+	address := netip.MustParseAddrPort(strings.TrimPrefix(http.URL, "http://"))
+	return &server{board: board, rows: rows, client: store.NewClient(platform.NewStore(address, "entry-1"), &metrc.New().Store)}
+}
+
+// numbered returns lane values that are never the same.
+func numbered(text string) func() []byte {
+	n := 0
+	return func() []byte {
+		n++
+		return fmt.Appendf(nil, "%s %d", text, n)
+	}
+}
+
+func named(name string) store.Key {
+	return store.Key{Table: "rows", Name: name}
+}
+
+func put(name, text string, version int64) store.Change {
+	return store.Change{
+		Expect: []store.Row{{Key: named(name), Version: version}},
+		Put:    []store.Row{{Key: named(name), Value: []byte(text)}},
+	}
+}
+
+var _ = Describe("a lane", func() {
+	var s *server
+	var ctx context.Context
+	BeforeEach(func() {
+		s = newServer()
+		ctx = context.Background()
+	})
+
+	It("settles a lost answer by reading, and writes once", func() {
+		lane := store.NewLane(s.client, named("host/a"), 0)
+		s.board.Set(faults.Fault{Kind: faults.LoseAnswers, Who: tables.TableName, Count: 1})
+		outcome, err := lane.Apply(ctx, put("row", "1", 0), numbered("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(outcome.Made).To(BeTrue())
+		again, err := lane.Apply(ctx, put("row", "2", outcome.Version), numbered("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Made).To(BeTrue())
+		Expect(s.rows.Load().Rows).To(Equal(2))
+	})
+
+	It("says certainly that a change did not take effect when a row is not as required", func() {
+		lane := store.NewLane(s.client, named("host/a"), 0)
+		outcome, err := lane.Apply(ctx, put("row", "1", 7), numbered("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(outcome.Made).To(BeFalse())
+		Expect(outcome.Current).To(ContainElement(SatisfyAll(HaveField("Key", named("row")), HaveField("Version", int64(0)))))
+	})
+
+	It("is fenced off once another writer has written its row", func() {
+		old := store.NewLane(s.client, named("shard/a"), 0)
+		_, err := old.Apply(ctx, store.Change{}, numbered("old"))
+		Expect(err).NotTo(HaveOccurred())
+		row, err := s.client.Read(ctx, named("shard/a"))
+		Expect(err).NotTo(HaveOccurred())
+		successor := store.NewLane(s.client, named("shard/a"), row.Version)
+		_, err = successor.Apply(ctx, store.Change{}, numbered("new"))
+		Expect(err).NotTo(HaveOccurred())
+
+		_, err = old.Apply(ctx, put("job", "started", 0), numbered("old"))
+		Expect(errors.Is(err, store.ErrFenced)).To(BeTrue())
+		missing, err := s.client.Read(ctx, named("job"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(missing.Version).To(BeZero())
+	})
+
+	It("goes on through an outage and commits once it is over", func() {
+		lane := store.NewLane(s.client, named("host/a"), 0)
+		s.board.Set(faults.Fault{Kind: faults.Down, Who: tables.TableName})
+		done := make(chan store.Outcome, 1)
+		go func() {
+			defer GinkgoRecover()
+			outcome, err := lane.Apply(ctx, put("row", "1", 0), numbered("a"))
+			Expect(err).NotTo(HaveOccurred())
+			done <- outcome
+		}()
+		Eventually(s.client.Health).Should(Equal(store.Down))
+		s.board.Clear(faults.Down, tables.TableName)
+		Eventually(done, 5*time.Second).Should(Receive(HaveField("Made", true)))
+		Expect(s.client.Health()).NotTo(Equal(store.Down))
+	})
+
+	It("writes nothing after it was retired", func() {
+		lane := store.NewLane(s.client, named("shard/a"), 0)
+		Expect(lane.Retire(ctx, numbered("free"))).To(Succeed())
+		_, err := lane.Apply(ctx, store.Change{}, numbered("mine"))
+		Expect(errors.Is(err, store.ErrFenced)).To(BeTrue())
+	})
+})
+
+var _ = Describe("a group", func() {
+	It("commits what waits together in few transactions, and tells each change its own end", func() {
+		s := newServer()
+		ctx, cancel := context.WithCancel(context.Background())
+		group := store.NewGroup(store.NewLane(s.client, named("host/a"), 0), numbered("a"))
+		const changes = 1000
+		var wave, runs sync.WaitGroup
+		committed := make([]bool, changes)
+		for i := range changes {
+			wave.Go(func() {
+				defer GinkgoRecover()
+				// Every tenth change asks for a row that is not there.
+				version := int64(0)
+				if i%10 == 0 {
+					version = 99
+				}
+				outcome, err := group.Apply(ctx, put(fmt.Sprintf("row-%d", i), "x", version))
+				Expect(err).NotTo(HaveOccurred())
+				committed[i] = outcome.Made
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		runs.Go(func() { _ = group.Run(ctx) })
+		wave.Wait()
+		cancel()
+		runs.Wait()
+		for i, c := range committed {
+			Expect(c).To(Equal(i%10 != 0), "change %d", i)
+		}
+		Expect(s.rows.Load().Writes).To(BeNumerically("<", 50))
+	})
+})
+
+var _ = Describe("a follower", func() {
+	It("reads all rows at first, then what has changed, and all again when the history is gone", func() {
+		s := newServer()
+		ctx := context.Background()
+		change := func(c store.Change) {
+			outcome, err := s.client.Transact(ctx, c)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(outcome.Made).To(BeTrue())
+		}
+		follower := store.NewFollower(s.client, "rows")
+		next := func() (map[string]bool, bool) {
+			changed, whole, err := follower.Next(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			there := map[string]bool{}
+			for _, r := range changed.Rows {
+				there[r.Key.Name] = !r.Deleted
+			}
+			return there, whole
+		}
+		change(put("a", "1", 0))
+		change(put("b", "1", 0))
+		there, whole := next()
+		Expect(whole).To(BeTrue())
+		Expect(there).To(Equal(map[string]bool{"a": true, "b": true}))
+
+		change(store.Change{Remove: []store.Key{named("a")}, Put: []store.Row{{Key: named("c"), Value: []byte("1")}}})
+		there, whole = next()
+		Expect(whole).To(BeFalse())
+		Expect(there).To(Equal(map[string]bool{"a": false, "c": true}))
+		there, whole = next()
+		Expect(whole).To(BeFalse())
+		Expect(there).To(BeEmpty())
+
+		s.rows.Forget()
+		change(put("d", "1", 0))
+		s.rows.Forget()
+		there, whole = next()
+		Expect(whole).To(BeTrue())
+		Expect(there).To(Equal(map[string]bool{"b": true, "c": true, "d": true}))
+	})
+})
--- a/internal/fakes/tables/tables.go
+++ b/internal/fakes/tables/tables.go
@@ -1,5 +1,5 @@
-// Package tables is a stand-in for the platform's transactional table service
-// and its lagging host list. It keeps everything in memory.
+// Package tables puts the stand-in of the platform's store under the faults of
+// a board, and serves the platform's lagging list of workers and targets.
 package tables
 
 import (
@@ -10,9 +10,11 @@
 	"sync"
 	"time"
 
+	"github.com/rattanshore/rattanshore/internal/core/rows"
 	"github.com/rattanshore/rattanshore/internal/fakes/faults"
 	"github.com/rattanshore/rattanshore/internal/proof/check"
 	"github.com/rattanshore/rattanshore/internal/wire/plat"
+	"github.com/rattanshore/rattanshore/platform/stand"
 )
 
 // The names under which faults are set.
@@ -21,18 +23,14 @@
 	HostsName = "hosts"
 )
 
-// Table is the rows and the host list.
+// Table is the store and the host list.
 type Table struct {
+	*stand.Store
 	board *faults.Board
 
 	mu       sync.Mutex
-	revision int64
-	rows     map[string]plat.Row
-	keys     []string
 	hosts    []plat.Host
 	snapshot []dated
-	reads    int
-	writes   int
 }
 
 type dated struct {
@@ -40,97 +38,70 @@
 	hosts []plat.Host
 }
 
-// New returns an empty table.
+// New returns an empty store without hosts.
 func New(board *faults.Board) *Table {
-	return &Table{board: board, rows: map[string]plat.Row{}}
+	t := &Table{board: board}
+	t.Store = stand.NewStore(never, t.note)
+	return t
 }
 
-// Handler serves the table service and the host list.
+// never is the chance that an answer is lost by itself; the board says which
+// are.
+func never() float64 { return 1 }
+
+// Handler serves the store and the host list.
 func (t *Table) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /table/transact", faults.Handle(t.board, TableName, func(r *http.Request, tx plat.Transaction) plat.TransactionResult {
-		return t.Transact(tx, faults.From(r))
-	}))
-	mux.HandleFunc("POST /table/scan", faults.HandleRead(t.board, TableName, func(_ *http.Request, s plat.Scan) plat.ScanResult {
-		return t.Scan(s)
-	}))
+	mux.HandleFunc("/rattanshore/", t.serve)
 	mux.HandleFunc("POST /hosts", faults.HandleRead(t.board, HostsName, func(*http.Request, struct{}) plat.HostList {
 		return t.List()
 	}))
 	return mux
 }
 
-// Transact applies the writes if every condition holds.
-func (t *Table) Transact(tx plat.Transaction, from string) plat.TransactionResult {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.writes++
-	var failed []string
-	for _, c := range tx.Conditions {
-		if t.rows[c.Key].Version != c.Version {
-			failed = append(failed, c.Key)
-		}
-	}
-	if len(failed) > 0 {
-		return plat.TransactionResult{Revision: t.revision, FailedKeys: failed}
+// serve lets a call to the store suffer the faults of the board.
+func (t *Table) serve(w http.ResponseWriter, r *http.Request) {
+	from := r.UserAgent()
+	if !t.board.Pass(r.Context(), TableName, from) {
+		panic(http.ErrAbortHandler)
 	}
-	t.revision++
-	for _, w := range tx.Writes {
-		t.write(w, tx.ID)
-		t.note(w, from)
-	}
-	return plat.TransactionResult{Committed: true, Revision: t.revision}
-}
-
-func (t *Table) write(w plat.Write, id string) {
-	i, found := slices.BinarySearch(t.keys, w.Key)
-	if w.Delete {
-		delete(t.rows, w.Key)
-		if found {
-			t.keys = slices.Delete(t.keys, i, i+1)
-		}
+	if r.Method != http.MethodPost {
+		t.ServeHTTP(w, r)
 		return
 	}
-	if !found {
-		t.keys = slices.Insert(t.keys, i, w.Key)
+	if _, lost := t.board.Find(faults.LoseAnswers, TableName, from); lost {
+		t.ServeHTTP(unsent{}, r)
+		panic(http.ErrAbortHandler)
 	}
-	t.rows[w.Key] = plat.Row{Key: w.Key, Value: w.Value, Version: t.revision, Transaction: id}
+	t.ServeHTTP(w, r)
 }
 
+// unsent is an answer that nobody gets.
+type unsent struct{}
+
+func (unsent) Header() http.Header            { return http.Header{} }
+func (unsent) Write(data []byte) (int, error) { return len(data), nil }
+func (unsent) WriteHeader(int)                {}
+
 // note keeps the rows that the promises are about in the history.
-func (t *Table) note(w plat.Write, from string) {
+func (t *Table) note(from string, w stand.Written) {
 	for _, prefix := range []string{"config/current", "domain/", "job/", "request/", "shard/"} {
-		if strings.HasPrefix(w.Key, prefix) {
-			t.board.Note(check.Record{Kind: check.RowWritten, Who: from, Key: w.Key, Version: t.revision, Body: string(w.Value)})
+		if strings.HasPrefix(w.Name, prefix) {
+			t.board.Note(check.Record{Kind: check.RowWritten, Who: from, Key: w.Name, Version: w.Version, Body: string(w.Value)})
 			return
 		}
 	}
 }
 
-// Scan reads the ranges as of the present revision.
-func (t *Table) Scan(s plat.Scan) plat.ScanResult {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.reads++
-	result := plat.ScanResult{Revision: t.revision, Rows: []plat.Row{}}
-	for _, r := range s.Ranges {
-		result.Rows = append(result.Rows, t.rangeRows(r)...)
-	}
-	return result
-}
-
-func (t *Table) rangeRows(r plat.Range) []plat.Row {
-	var rows []plat.Row
-	first, _ := slices.BinarySearch(t.keys, r.Prefix)
-	for _, key := range t.keys[first:] {
-		if !strings.HasPrefix(key, r.Prefix) || r.Exact && key != r.Prefix {
-			break
-		}
-		if row := t.rows[key]; row.Version > r.After {
-			rows = append(rows, row)
+// Dump returns all rows by name, for a report.
+func (t *Table) Dump() map[string]json.RawMessage {
+	dump := map[string]json.RawMessage{}
+	for _, table := range []string{rows.Shared, rows.ShardJobs, rows.PastJobs, rows.Pointers, rows.Requests, rows.Configs} {
+		for name, value := range t.Rows(table) {
+			dump[name] = value
 		}
 	}
-	return rows
+	return dump
 }
 
 // SetHosts replaces the host list.
@@ -174,28 +145,3 @@
 	}
 	return chosen
 }
-
-// Load is the number of calls that the table has served.
-type Load struct {
-	Reads  int `json:"reads"`
-	Writes int `json:"writes"`
-	Rows   int `json:"rows"`
-}
-
-// Load returns the number of calls so far.
-func (t *Table) Load() Load {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return Load{Reads: t.reads, Writes: t.writes, Rows: len(t.rows)}
-}
-
-// Dump returns all rows, for a report.
-func (t *Table) Dump() map[string]json.RawMessage {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	dump := make(map[string]json.RawMessage, len(t.rows))
-	for key, row := range t.rows {
-		dump[key] = json.RawMessage(row.Value)
-	}
-	return dump
-}
--- a/internal/ops/metrc/metrc.go
+++ b/internal/ops/metrc/metrc.go
@@ -8,8 +8,8 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// Table holds the metrics of the table client.
-type Table struct {
+// Store holds the metrics of the client of the platform's store.
+type Store struct {
 	Reads       *metrics.Counter
 	Writes      *metrics.Counter
 	RowsWritten *metrics.Counter
@@ -17,6 +17,16 @@
 	Latency     *metrics.Histogram
 }
 
+func newStore(counter func(string) *metrics.Counter, histogram func(string) *metrics.Histogram) Store {
+	return Store{
+		Reads:       counter("store_reads_total"),
+		Writes:      counter("store_writes_total"),
+		RowsWritten: counter("store_rows_written_total"),
+		Failures:    counter("store_failures_total"),
+		Latency:     histogram("store_seconds"),
+	}
+}
+
 // Route holds the metrics of request routing.
 type Route struct {
 	Answered   *metrics.Counter
@@ -41,14 +51,12 @@
 
 // Fleet holds the metrics of a host that plans a platform's workers.
 type Fleet struct {
+	Store       Store
 	Accepted    *metrics.Counter
 	Refused     *metrics.Counter
 	Open        *metrics.Counter
 	Cancelled   *metrics.Counter
 	SubmitTime  *metrics.Histogram
-	StoreCalls  *metrics.Counter
-	StoreFailed *metrics.Counter
-	StoreTime   *metrics.Histogram
 	Takeovers   *metrics.Counter
 	Placed      *metrics.Counter
 	Preempted   *metrics.Counter
@@ -65,14 +73,12 @@
 	counter := func(name string) *metrics.Counter { return s.NewCounter("rattanshore_" + name) }
 	histogram := func(name string) *metrics.Histogram { return s.NewHistogram("rattanshore_" + name) }
 	return &Fleet{
+		Store:       newStore(counter, histogram),
 		Accepted:    counter(`submissions_total{outcome="accepted"}`),
 		Refused:     counter(`submissions_total{outcome="refused"}`),
 		Open:        counter(`submissions_total{outcome="open"}`),
 		Cancelled:   counter("cancellations_total"),
 		SubmitTime:  histogram("submission_seconds"),
-		StoreCalls:  counter("store_calls_total"),
-		StoreFailed: counter("store_failures_total"),
-		StoreTime:   histogram("store_seconds"),
 		Takeovers:   counter("takeovers_total"),
 		Placed:      counter("gang_placements_total"),
 		Preempted:   counter("gang_preemptions_total"),
@@ -92,7 +98,7 @@
 
 // Set is the metrics of one entry host.
 type Set struct {
-	Table Table
+	Store Store
 	Route Route
 	Sched Sched
 	set   *metrics.Set
@@ -107,14 +113,8 @@
 		return counter(fmt.Sprintf("requests_total{outcome=%q}", name))
 	}
 	return &Set{
-		set: s,
-		Table: Table{
-			Reads:       counter("table_reads_total"),
-			Writes:      counter("table_writes_total"),
-			RowsWritten: counter("table_rows_written_total"),
-			Failures:    counter("table_failures_total"),
-			Latency:     histogram("table_seconds"),
-		},
+		set:   s,
+		Store: newStore(counter, histogram),
 		Route: Route{
 			Answered:   outcome("answered"),
 			NotRun:     outcome("not-run"),
--- a/internal/ops/verbs/fleet.go
+++ b/internal/ops/verbs/fleet.go
@@ -34,7 +34,7 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	go logReloads(ctx, &log)
-	rows := store.NewClient(platform.NewStore(settings.Store), meter)
+	rows := store.NewClient(platform.NewStore(settings.Store, settings.Host.ID), &meter.Store)
 	host := fleet.New(settings, &log, meter, steady.Now, rows, platform.NewWorkers(steady.Now), platform.NewDirectory(rows))
 	ingress := platform.NewIngress(host.Front(), steady.Now)
 	return host.Run(ctx, ingress, http.HandlerFunc(ingress.Ready))
--- a/internal/ops/verbs/serve.go
+++ b/internal/ops/verbs/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/rattanshore/rattanshore/internal/edge/entry"
 	"github.com/rattanshore/rattanshore/internal/ops/setng"
+	"github.com/rattanshore/rattanshore/platform"
 )
 
 // errSettings marks errors of the settings file.
@@ -52,7 +53,7 @@
 func serve(ctx context.Context, settings setng.Settings) error {
 	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	log := zerolog.New(os.Stdout).Level(settings.Level()).With().Timestamp().Str("host", settings.Host.ID).Logger()
-	host, err := entry.New(settings, &log)
+	host, err := entry.New(settings, &log, platform.NewStore(settings.Platform.Table, settings.Host.ID))
 	if err != nil {
 		return err
 	}
--- a/internal/proof/desk/cluster.go
+++ b/internal/proof/desk/cluster.go
@@ -16,6 +16,7 @@
 	"github.com/rattanshore/rattanshore/internal/edge/entry"
 	"github.com/rattanshore/rattanshore/internal/fakes/site"
 	"github.com/rattanshore/rattanshore/internal/ops/setng"
+	"github.com/rattanshore/rattanshore/platform"
 )
 
 // Key is the operators' and peers' key of a cluster.
@@ -70,7 +71,7 @@
 		tune(&settings)
 	}
 	logger := zerolog.New(zerolog.SyncWriter(log)).Level(settings.Level()).With().Timestamp().Str("host", id).Logger()
-	host, err := entry.New(settings, &logger)
+	host, err := entry.New(settings, &logger, platform.NewStore(settings.Platform.Table, id))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proof/drive/drive.go
+++ b/internal/proof/drive/drive.go
@@ -214,22 +214,22 @@
 	if epoch != d.epoch {
 		return
 	}
-	var failed []string
+	committed := true
 	for _, c := range cmd.Conditions {
 		for id, dom := range d.domains {
-			if c.Key == rows.Domain(id) && c.Version != dom.Version {
-				failed = append(failed, c.Key)
+			if c.Row == rows.Domain(id) && c.Version != dom.Version {
+				committed = false
 			}
 		}
 	}
-	if len(failed) == 0 {
+	if committed {
 		for _, j := range cmd.Jobs {
 			d.write(j)
 		}
 	}
 	d.schedule(d.delay(), func() {
 		if epoch == d.epoch {
-			d.Send(sched.CommittedMsg{Batch: cmd.Batch, Committed: len(failed) == 0, FailedKeys: failed})
+			d.Send(sched.CommittedMsg{Batch: cmd.Batch, Committed: committed})
 		}
 	})
 }
--- a/internal/wire/plat/plat.gen.go
+++ b/internal/wire/plat/plat.gen.go
@@ -87,14 +87,6 @@
 	}
 }
 
-// Condition defines model for Condition.
-type Condition struct {
-	Key string `json:"key"`
-
-	// Version Required version of the row; 0 means absent.
-	Version int64 `json:"version"`
-}
-
 // Host defines model for Host.
 type Host struct {
 	Accelerators int            `json:"accelerators,omitempty,omitzero"`
@@ -117,37 +109,6 @@
 	Hosts []Host    `json:"hosts"`
 }
 
-// Range defines model for Range.
-type Range struct {
-	// After Only rows with a newer version.
-	After int64 `json:"after,omitempty,omitzero"`
-
-	// Exact Only the row whose key equals prefix.
-	Exact  bool   `json:"exact,omitempty,omitzero"`
-	Prefix string `json:"prefix"`
-}
-
-// Row defines model for Row.
-type Row struct {
-	Key string `json:"key"`
-
-	// Transaction Identifier of the transaction that wrote it.
-	Transaction string `json:"transaction"`
-	Value       []byte `json:"value"`
-	Version     int64  `json:"version"`
-}
-
-// Scan defines model for Scan.
-type Scan struct {
-	Ranges []Range `json:"ranges"`
-}
-
-// ScanResult defines model for ScanResult.
-type ScanResult struct {
-	Revision int64 `json:"revision"`
-	Rows     []Row `json:"rows"`
-}
-
 // TargetCall defines model for TargetCall.
 type TargetCall struct {
 	Body     string    `json:"body"`
@@ -204,22 +165,6 @@
 // TaskState defines model for TaskState.
 type TaskState string
 
-// Transaction defines model for Transaction.
-type Transaction struct {
-	Conditions []Condition `json:"conditions"`
-	ID         string      `json:"id"`
-	Writes     []Write     `json:"writes"`
-}
-
-// TransactionResult defines model for TransactionResult.
-type TransactionResult struct {
-	Committed  bool     `json:"committed"`
-	FailedKeys []string `json:"failed-keys,omitempty,omitzero"`
-
-	// Revision Version given to every row written.
-	Revision int64 `json:"revision"`
-}
-
 // WorkerCall defines model for WorkerCall.
 type WorkerCall struct {
 	Epoch int64 `json:"epoch"`
@@ -247,10 +192,3 @@
 
 // WorkerVerb defines model for WorkerVerb.
 type WorkerVerb string
-
-// Write defines model for Write.
-type Write struct {
-	Delete bool   `json:"delete,omitempty,omitzero"`
-	Key    string `json:"key"`
-	Value  []byte `json:"value,omitempty,omitzero"`
-}
