Workers' speeds are learned; urgent work goes to fast workers, other work to slow ones

Cause: workers are up to 1.5 times as fast as each other, and a gang takes as long as its slowest member, so that urgent gangs lost most of their slack to slow workers. Change: a worker's speed is measured against other tasks of one step, at work or done (speed.go), and orders the candidates for a gang. Test: 'urgent gangs go to fast workers once their speed has shown', red without the order.

--- a/internal/core/plan/ends.go
+++ b/internal/core/plan/ends.go
@@ -91,6 +91,9 @@
 		r = nil
 	}
 	g := m.gangOf(r, end.Task)
+	if r != nil && g != nil && g.phase == placed && end.Kind == EndDone {
+		m.measureSpeed(now, g)
+	}
 	if r != nil {
 		m.release(r)
 	}
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -66,6 +66,8 @@
 	// runs away from its data or over several racks.
 	resumed bool
 	away    bool
+	// shown holds the paces of the members of a gang that is done.
+	shown []float64
 }
 
 // job is a job that has not ended.
--- a/internal/core/plan/load_test.go
+++ b/internal/core/plan/load_test.go
@@ -87,6 +87,51 @@
 		Expect(prompt).To(BeNumerically(">=", urgent*8/10), "%d of %d urgent gangs started at once", prompt, urgent)
 	})
 
+	// Pattern: workers of three speeds, tasks of one step that are unlike each
+	// other, and little time to spare for urgent gangs.
+	It("urgent gangs go to fast workers once their speed has shown, other work to slow ones", func() {
+		w := newWorld(1, 24)
+		fast, slow := map[string]bool{}, map[string]bool{}
+		for i, id := range w.IDs() {
+			switch i % 3 {
+			case 0:
+				w.Worker(id).SlowBy, slow[id] = 1.25, true
+			case 1:
+				w.Worker(id).SlowBy, fast[id] = 0.8, true
+			}
+		}
+		w.work = func(t plan.TaskID) time.Duration {
+			return 2*time.Second + time.Duration(t.Index%4)*200*time.Millisecond
+		}
+		w.run(100 * time.Millisecond)
+		number := 0
+		submit := func(queue string, s record.Step) string {
+			number++
+			j := job(number, queue, s)
+			w.submit(j)
+			return j.ID
+		}
+		for range 8 {
+			submit("patient", step(48, 4))
+			w.run(3200 * time.Millisecond)
+		}
+		w.run(8 * time.Second)
+		println(w.planners[0].model.Dump())
+		onSlow, onFast := 0, 0
+		for range 6 {
+			patient := submit("patient", step(8, 8))
+			w.run(time.Second)
+			urgent := submit("urgent", gangStep(4, 8))
+			w.run(time.Second)
+			onSlow += runningOn(w, patient, slow)
+			onFast += runningOn(w, urgent, fast)
+			w.run(5 * time.Second)
+		}
+		Expect(w.Problems()).To(BeEmpty())
+		Expect(onFast).To(BeNumerically(">=", 6*4*3/4), "of %d urgent tasks", 6*4)
+		Expect(onSlow).To(BeNumerically(">=", 6*8*3/4), "of %d patient tasks", 6*8)
+	})
+
 	// Pattern: one worker turns several times slower while gangs lie across it.
 	It("a gang leaves a worker on which it comes on far slower than its peers do", func() {
 		w := newWorld(1, 12)
@@ -193,3 +238,16 @@
 		Expect(w.Problems()).To(BeEmpty())
 	})
 })
+
+// runningOn counts the tasks of a job that run on the named workers.
+func runningOn(w *world, job string, workers map[string]bool) int {
+	n := 0
+	for id := range workers {
+		for _, t := range w.Worker(id).Tasks() {
+			if t.Job == job {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/core/plan/pace.go
+++ b/internal/core/plan/pace.go
@@ -29,12 +29,12 @@
 	if g == nil || r.phase != working || g.together.IsZero() {
 		return
 	}
-	if span := now.Sub(g.together); span >= paceSpan {
-		r.rate = float64(r.percent) / span.Seconds()
-	}
 	if r.percent >= wholeWork {
 		return
 	}
+	if span := now.Sub(g.together); span >= paceSpan {
+		r.rate = float64(r.percent) / span.Seconds()
+	}
 	if pace, known := r.againstPeers(); known {
 		r.pace = pace
 		if pace < slowPace {
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -309,6 +309,20 @@
 	left   record.Amount
 }
 
+// order returns how candidates for a gang are compared: urgent work goes to
+// fast workers first, other work to slow ones, and both to those that have
+// least room to spare.
+func order(g *gang) func(a, b candidate) int {
+	if g.job.queue.Priority == 0 {
+		return func(a, b candidate) int {
+			return cmp.Or(cmp.Compare(b.worker.speed.class(), a.worker.speed.class()), compareLeft(a, b))
+		}
+	}
+	return func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.worker.speed.class(), b.worker.speed.class()), compareLeft(a, b))
+	}
+}
+
 // compareLeft puts workers first that have least room to spare.
 func compareLeft(a, b candidate) int {
 	return cmp.Or(
@@ -335,10 +349,10 @@
 		return nil
 	}
 	if g.size == 1 {
-		best := slices.MinFunc(candidates, compareLeft)
+		best := slices.MinFunc(candidates, order(g))
 		return []*worker{best.worker}
 	}
-	slices.SortStableFunc(candidates, compareLeft)
+	slices.SortStableFunc(candidates, order(g))
 	places := make([]*worker, 0, g.size)
 	for _, c := range candidates {
 		for range min(c.slots, g.size-len(places)) {
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -57,6 +57,7 @@
 	// slowCount is how many measurements in a row were much slower than
 	// expected; slowUntil is when the worker is no longer thought to be slow.
 	slowCount int
+	speed     speed
 	slowUntil time.Time
 }
 
--- a/internal/fakes/crew/worker.go
+++ b/internal/fakes/crew/worker.go
@@ -17,7 +17,7 @@
 	// done.
 	Cut, Dead, Hangs bool
 	// SlowBy is how many times longer work takes here; 0 is as usual.
-	SlowBy int
+	SlowBy float64
 	// SlowLook delays looks on their way.
 	SlowLook time.Duration
 
@@ -50,6 +50,11 @@
 	return len(w.runs)
 }
 
+// Tasks returns the tasks of the worker's runs.
+func (w *Worker) Tasks() []plan.TaskID {
+	return slices.Collect(maps.Keys(w.runs))
+}
+
 // Unacknowledged returns how many ends the worker still lists.
 func (w *Worker) Unacknowledged() int {
 	return len(w.ended)
@@ -64,6 +69,14 @@
 	return runs
 }
 
+// takes returns how long work lasts here that is usually done in a time.
+func (w *Worker) takes(usual time.Duration) time.Duration {
+	if w.SlowBy == 0 {
+		return usual
+	}
+	return time.Duration(float64(usual) * w.SlowBy)
+}
+
 func (w *Worker) hasRoom(need record.Amount) bool {
 	free := w.Entry.Capacity
 	for _, r := range w.runs {
@@ -116,7 +129,7 @@
 }
 
 func (c *Crew) start(w *Worker, cmd plan.StartCmd, step record.Step) {
-	total := c.jobs.Work(cmd.Task) * time.Duration(max(1, w.SlowBy))
+	total := w.takes(c.jobs.Work(cmd.Task))
 	r := &run{task: cmd.Task, attempt: cmd.Attempt, need: step.Need, total: total}
 	w.runs[cmd.Task] = r
 	if !step.Gang || step.Tasks < 2 {
