Load test of speeds compiles again; expected times by speed tried and reverted

The test was run now: green, and red without the order (6 of 24 urgent tasks on fast workers, 18 asked for).

--- a/internal/core/plan/load_test.go
+++ b/internal/core/plan/load_test.go
@@ -116,7 +116,6 @@
 			w.run(3200 * time.Millisecond)
 		}
 		w.run(8 * time.Second)
-		println(w.planners[0].model.Dump())
 		onSlow, onFast := 0, 0
 		for range 6 {
 			patient := submit("patient", step(8, 8))
--- a/internal/core/plan/speed.go
+++ b/internal/core/plan/speed.go
@@ -43,11 +43,6 @@
 	return int(math.Round(s.value() / speedStep / 2))
 }
 
-// factor returns how many times longer than usual the worker's tasks take.
-func (s *speed) factor() float64 {
-	return math.Exp(-s.value())
-}
-
 // measureSpeed takes in how fast the members of a gang that is done worked,
 // against each other and against other tasks of their step.
 func (m *Model) measureSpeed(now time.Time, g *gang) {
