Calls to the store race their tries

Change: the next try is sent beside the one before, up to four, and the first answer ends the call. Every try has the same effect, so any of them may be the one that counts. A late failure of an older try no longer makes a store look down that has answered since. Ruled out: longer time-outs, since lost answers would then be waited for.

--- a/internal/edge/store/client.go
+++ b/internal/edge/store/client.go
@@ -2,28 +2,14 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/rattanshore/rattanshore/internal/ops/metrc"
 )
 
-const (
-	// leastTry and lastTry bound how long one of several tries may take.
-	leastTry = 60 * time.Millisecond
-	lastTry  = 1500 * time.Millisecond
-	// tryRounds is how many times its usual time a call gets before it is
-	// tried again: an answer may be lost for good.
-	tryRounds = 4
-	// firstPause and lastPause lie between a refused try and the next.
-	firstPause = 15 * time.Millisecond
-	lastPause  = 250 * time.Millisecond
-	// latencyWeight is the weight of one call in the usual time.
-	latencyWeight = 0.2
-)
+// latencyWeight is the weight of one call in the usual time.
+const latencyWeight = 0.2
 
 // slowAfter is the time after which an answer counts as slow.
 const slowAfter = 500 * time.Millisecond
@@ -45,10 +31,12 @@
 	meter   *metrc.Store
 	// usual is the mean time of a call, in nanoseconds.
 	usual atomic.Int64
-	heard atomic.Bool
-	// failed and slow tell of the newest call.
+	// heard is when the newest answered call was sent, in nanoseconds since 1970.
+	heard atomic.Int64
+	// failed is set when a call sent after that had no answer.
 	failed atomic.Bool
-	slow   atomic.Bool
+	// slow tells of the newest answered call.
+	slow atomic.Bool
 }
 
 // NewClient returns a client of the store that counts its calls.
@@ -59,7 +47,7 @@
 // Health returns the state of the store by the newest call.
 func (c *Client) Health() Health {
 	switch {
-	case c.failed.Load() || !c.heard.Load():
+	case c.failed.Load() || c.heard.Load() == 0:
 		return Down
 	case c.slow.Load():
 		return Slow
@@ -98,13 +86,15 @@
 
 // done takes in the end of a call that the store might hold back.
 func (c *Client) done(begin time.Time, wait time.Duration, err error) {
-	answered := err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrRejected)
-	c.failed.Store(!answered)
-	if !answered {
+	if !final(err) {
 		c.meter.Failures.Inc()
+		if begin.UnixNano() > c.heard.Load() {
+			c.failed.Store(true)
+		}
 		return
 	}
-	c.heard.Store(true)
+	c.heard.Store(max(c.heard.Load(), begin.UnixNano()))
+	c.failed.Store(false)
 	if wait > 0 {
 		return
 	}
@@ -120,42 +110,6 @@
 	return time.Duration(c.usual.Load())
 }
 
-// tries spaces the repetitions of one call.
-type tries struct {
-	timeout time.Duration
-	pause   time.Duration
-}
-
-func (c *Client) newTries() tries {
-	return tries{timeout: max(leastTry, tryRounds*c.Usual()), pause: firstPause}
-}
-
-// next returns the context of one try.
-func (t *tries) next(ctx context.Context) (context.Context, context.CancelFunc) {
-	timeout := min(t.timeout, lastTry)
-	t.timeout *= 2
-	return context.WithTimeout(ctx, timeout)
-}
-
-// transact makes one try of a change.
-func (c *Client) transact(ctx context.Context, t *tries, change Change) (Outcome, error) {
-	try, cancel := t.next(ctx)
-	defer cancel()
-	return c.Transact(try, change)
-}
-
-// rest waits before the next try.
-func (t *tries) rest(ctx context.Context) error {
-	pause := t.pause/2 + rand.N(t.pause)
-	t.pause = min(2*t.pause, lastPause)
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(pause):
-		return nil
-	}
-}
-
 // Read returns one row, which has version 0 if it is absent. It tries until
 // ctx ends.
 func (c *Client) Read(ctx context.Context, key Key) (Row, error) {
@@ -188,16 +142,7 @@
 
 // repeat makes a reading call until it is answered or ctx ends.
 func (c *Client) repeat(ctx context.Context, call func(context.Context) (Rows, error)) (Rows, error) {
-	t := c.newTries()
-	for {
-		try, cancel := t.next(ctx)
-		rows, err := call(try)
-		cancel()
-		final := err == nil || errors.Is(err, ErrRejected) || errors.Is(err, ErrHistoryGone)
-		if final || t.rest(ctx) != nil {
-			return rows, err
-		}
-	}
+	return newRace(waitRounds*c.Usual(), func() func(context.Context) (Rows, error) { return call }).run(ctx)
 }
 
 // Insert stores a row that must not be there yet, and tries until ctx ends or
@@ -205,32 +150,20 @@
 // the value given, or with what was there before. ErrRefused is returned only
 // if no try can have stored the row.
 func (c *Client) Insert(ctx context.Context, row Row, patience time.Duration) (Row, error) {
-	t := c.newTries()
-	giveUp := time.Now().Add(patience)
-	open := false
 	change := Change{Expect: []Row{{Key: row.Key}}, Put: []Row{row}}
-	for {
-		outcome, err := c.transact(ctx, &t, change)
-		switch {
-		case err == nil && outcome.Made:
-			row.Version = outcome.Version
-			return row, nil
-		case err == nil:
-			return current(outcome, row.Key), nil
-		case errors.Is(err, ErrRejected):
-			return Row{}, err
-		case !errors.Is(err, ErrRefused):
-			open = true
-		case !open && time.Now().After(giveUp):
-			return Row{}, err
-		}
-		if t.rest(ctx) == nil {
-			continue
-		}
-		if open {
-			return Row{}, errors.Mark(err, ErrUnanswered)
-		}
+	r := newRace(waitRounds*c.Usual(), func() func(context.Context) (Outcome, error) {
+		return func(try context.Context) (Outcome, error) { return c.Transact(try, change) }
+	})
+	r.giveUp = time.Now().Add(patience)
+	outcome, err := r.run(ctx)
+	switch {
+	case err != nil:
 		return Row{}, err
+	case outcome.Made:
+		row.Version = outcome.Version
+		return row, nil
+	default:
+		return current(outcome, row.Key), nil
 	}
 }
 
--- a/internal/edge/store/lane.go
+++ b/internal/edge/store/lane.go
@@ -51,38 +51,39 @@
 }
 
 func (l *Lane) apply(ctx context.Context, change Change, value func() []byte) (Outcome, error) {
-	var tried [][]byte
-	expect, put := change.Expect, change.Put
-	t := l.client.newTries()
 	for {
 		if l.fenced {
 			return Outcome{}, ErrFenced
 		}
-		tried = append(tried, value())
-		change.Expect = append(slices.Clone(expect), Row{Key: l.key, Version: l.version})
-		change.Put = append(slices.Clone(put), Row{Key: l.key, Value: tried[len(tried)-1]})
-		outcome, err := l.client.transact(ctx, &t, change)
-		if err == nil && outcome.Made {
-			l.moved(outcome.Version)
-			return outcome, nil
-		}
-		if err == nil {
-			settled, over := l.settle(outcome, tried)
-			if over {
-				return settled, nil
-			}
-			continue
-		}
-		if errors.Is(err, ErrRejected) {
+		var tried [][]byte
+		outcome, err := newRace(waitRounds*l.client.Usual(), func() func(context.Context) (Outcome, error) {
+			tried = append(tried, value())
+			whole := l.with(change, tried[len(tried)-1])
+			return func(try context.Context) (Outcome, error) { return l.client.Transact(try, whole) }
+		}).run(ctx)
+		switch {
+		case errors.Is(err, ErrRejected):
 			return Outcome{}, err
-		}
-		if t.rest(ctx) != nil {
+		case err != nil:
 			l.given = append(l.given, tried...)
 			return Outcome{}, err
+		case outcome.Made:
+			l.moved(outcome.Version)
+			return outcome, nil
+		}
+		if settled, over := l.settle(outcome, tried); over {
+			return settled, nil
 		}
 	}
 }
 
+// with returns the change together with the lane's row.
+func (l *Lane) with(change Change, value []byte) Change {
+	change.Expect = append(slices.Clone(change.Expect), Row{Key: l.key, Version: l.version})
+	change.Put = append(slices.Clone(change.Put), Row{Key: l.key, Value: value})
+	return change
+}
+
 // settle works out from the lane's row as it is what became of a change that
 // was not made at its newest try. It is not over if an earlier change of this
 // lane has turned out to be made, or if the lane is fenced.
--- a/internal/edge/store/store_test.go
+++ b/internal/edge/store/store_test.go
@@ -18,6 +18,7 @@
 	"github.com/rattanshore/rattanshore/internal/fakes/tables"
 	"github.com/rattanshore/rattanshore/internal/ops/metrc"
 	"github.com/rattanshore/rattanshore/platform"
+	"github.com/rattanshore/rattanshore/platform/stand"
 )
 
 // server is a stand-in of the store with a client of it.
@@ -125,6 +126,49 @@
 	})
 })
 
+var _ = Describe("a call", func() {
+	// Pattern: the store answers everything, but takes longer than usual by far.
+	It("to a slow store ends with the answer to its first try", func() {
+		s := newServer()
+		ctx := context.Background()
+		for i := range 5 {
+			_, err := s.client.Insert(ctx, store.Row{Key: named(fmt.Sprint("before-", i))}, time.Second)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		const delay = 700 * time.Millisecond
+		s.rows.SetFaults(stand.StoreFaults{Delay: delay})
+		begin := time.Now()
+		row, err := s.client.Insert(ctx, store.Row{Key: named("a"), Value: []byte("1")}, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(row.Value).To(Equal([]byte("1")))
+		Expect(time.Since(begin)).To(BeNumerically("<", delay*3/2))
+
+		begin = time.Now()
+		lane := store.NewLane(s.client, named("lane"), 0)
+		_, err = lane.Apply(ctx, store.Change{}, numbered("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(begin)).To(BeNumerically("<", delay*3/2))
+	})
+
+	// Pattern: the store does what it is told and its answers are lost.
+	It("whose answers are lost is tried again soon, and the store counts as reachable after", func() {
+		s := newServer()
+		ctx := context.Background()
+		s.board.Set(faults.Fault{Kind: faults.Frozen, Who: tables.TableName})
+		begin := time.Now()
+		done := make(chan error, 1)
+		go func() {
+			_, err := s.client.Insert(ctx, store.Row{Key: named("a"), Value: []byte("1")}, time.Second)
+			done <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		s.board.Clear(faults.Frozen, tables.TableName)
+		Eventually(done, time.Second).Should(Receive(BeNil()))
+		Expect(time.Since(begin)).To(BeNumerically("<", 500*time.Millisecond))
+		Consistently(s.client.Health, 1600*time.Millisecond).Should(Equal(store.Reachable))
+	})
+})
+
 var _ = Describe("a group", func() {
 	It("commits what waits together in few transactions, and tells each change its own end", func() {
 		s := newServer()
