A follower's late try reads its own position

Change: the position is read once for a call. Test: 'reads on while an earlier try is still under way', red before under the race detector, without network.

--- a/internal/edge/store/follow.go
+++ b/internal/edge/store/follow.go
@@ -23,9 +23,9 @@
 // that were removed marked as deleted. It returns all rows, and says so, at
 // first and when the store no longer has the changes. It tries until ctx ends.
 func (f *Follower) Next(ctx context.Context) (changed Rows, whole bool, err error) {
-	if f.after > 0 {
+	if after := f.after; after > 0 {
 		changed, err = f.client.repeat(ctx, func(try context.Context) (Rows, error) {
-			return f.client.Changes(try, f.table, f.after, 0)
+			return f.client.Changes(try, f.table, after, 0)
 		})
 		if !errors.Is(err, ErrHistoryGone) {
 			return f.read(changed, false, err)
--- a/internal/edge/store/store_test.go
+++ b/internal/edge/store/store_test.go
@@ -202,7 +202,33 @@
 	})
 })
 
+// late is a store whose changes take longer than a call waits for its first
+// try.
+type late struct {
+	store.Store
+}
+
+func (*late) Range(context.Context, string, string, string, int) (store.Rows, error) {
+	return store.Rows{Version: 1}, nil
+}
+
+func (*late) Changes(_ context.Context, _ string, after int64, _ time.Duration) (store.Rows, error) {
+	time.Sleep(100 * time.Millisecond)
+	return store.Rows{Version: after + 1}, nil
+}
+
 var _ = Describe("a follower", func() {
+	// A try that the store answers late goes on beside the next reading; the race
+	// detector judges.
+	It("reads on while an earlier try is still under way", func() {
+		client := store.NewClient(&late{}, &metrc.New().Store)
+		follower := store.NewFollower(client, "rows")
+		for range 4 {
+			_, _, err := follower.Next(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
 	It("reads all rows at first, then what has changed, and all again when the history is gone", func() {
 		s := newServer()
 		ctx := context.Background()
