--- a/internal/edge/entry/rows.go
+++ b/internal/edge/entry/rows.go
@@ -75,5 +75,5 @@
 func (h *Host) follow(ctx context.Context, f *store.Follower) (store.Rows, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeouts*h.settings.Timing.TableTimeout)
 	defer cancel()
-	return f.Next(ctx)
+	return f.Next(ctx, 0)
 }
--- a/internal/edge/entry/shard.go
+++ b/internal/edge/entry/shard.go
@@ -103,7 +103,7 @@
 func (h *Host) takeShard(ctx context.Context, l membr.Lease) {
 	o := &owner{host: h, shard: l.Shard, epoch: l.Epoch + 1, poll: make(chan struct{}, 1)}
 	o.lane = store.NewLane(h.store, keyOf(rows.Shard(l.Shard)), l.Version)
-	o.jobs = store.NewFollower(h.store, rows.ShardJobs)
+	o.jobs = store.NewFollower(h.store, rows.ShardJobs, 0)
 	call, cancelCall := context.WithTimeout(ctx, h.settings.Timing.ShardLease)
 	defer cancelCall()
 	if outcome, err := o.lane.Apply(call, store.Change{}, o.row); err != nil || !outcome.Made {
--- a/internal/edge/entry/shared.go
+++ b/internal/edge/entry/shared.go
@@ -21,7 +21,7 @@
 }
 
 func newShared(s *store.Client, log *zerolog.Logger) *shared {
-	r := &shared{log: log, follower: store.NewFollower(s, rows.Shared)}
+	r := &shared{log: log, follower: store.NewFollower(s, rows.Shared, 0)}
 	r.clear()
 	return r
 }
--- a/internal/edge/fleet/rows.go
+++ b/internal/edge/fleet/rows.go
@@ -31,16 +31,12 @@
 	waitingKey = store.Key{Table: tableLead, Name: "waiting"}
 )
 
-// rosterKey returns the key of one part of the roster; the parts lie between
-// rosterFrom and rosterTo.
+// rosterKey returns the key of one part of the roster.
 func rosterKey(part int) store.Key {
-	return store.Key{Table: tableLead, Name: fmt.Sprintf("%s%02d", rosterFrom, part)}
+	return store.Key{Table: tableLead, Name: fmt.Sprintf("%s%02d", rosterPrefix, part)}
 }
 
-const (
-	rosterFrom = "roster/"
-	rosterTo   = "roster0"
-)
+const rosterPrefix = "roster/"
 
 // cancelled returns the job that a row of the job table cancels.
 func cancelled(name string) (string, bool) {
--- a/internal/edge/store/client.go
+++ b/internal/edge/store/client.go
@@ -123,10 +123,20 @@
 }
 
 // ReadAll returns the rows of a table whose names begin with the prefix. It
-// tries until ctx ends.
+// tries each page until ctx ends.
 func (c *Client) ReadAll(ctx context.Context, table, prefix string) (Rows, error) {
-	return c.repeat(ctx, func(try context.Context) (Rows, error) {
-		return Scan(try, c, table, prefix, after(prefix))
+	return Scan(ctx, patient{c}, table, prefix, after(prefix))
+}
+
+// patient is a client that repeats the reading of a range until ctx ends.
+type patient struct {
+	*Client
+}
+
+// Range implements Store.
+func (p patient) Range(ctx context.Context, table, from, to string, limit int) (Rows, error) {
+	return p.repeat(ctx, func(try context.Context) (Rows, error) {
+		return p.Client.Range(try, table, from, to, limit)
 	})
 }
 
--- a/internal/edge/store/store_test.go
+++ b/internal/edge/store/store_test.go
@@ -222,9 +222,9 @@
 	// detector judges.
 	It("reads on while an earlier try is still under way", func() {
 		client := store.NewClient(&late{}, &metrc.New().Store)
-		follower := store.NewFollower(client, "rows")
+		follower := store.NewFollower(client, "rows", 0)
 		for range 4 {
-			_, _, err := follower.Next(context.Background())
+			_, _, err := follower.Next(context.Background(), 0)
 			Expect(err).NotTo(HaveOccurred())
 		}
 	})
@@ -237,9 +237,9 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(outcome.Made).To(BeTrue())
 		}
-		follower := store.NewFollower(s.client, "rows")
+		follower := store.NewFollower(s.client, "rows", 0)
 		next := func() (map[string]bool, bool) {
-			changed, whole, err := follower.Next(ctx)
+			changed, whole, err := follower.Next(ctx, 0)
 			Expect(err).NotTo(HaveOccurred())
 			there := map[string]bool{}
 			for _, r := range changed.Rows {
