--- a/internal/core/plan/speed.go
+++ b/internal/core/plan/speed.go
@@ -14,9 +14,9 @@
 	// speedLimit is the largest difference, as a logarithm, that one
 	// measurement may show; what is beyond comes from faults.
 	speedLimit = 0.5
-	// speedStep is the difference, as a logarithm, from which on two workers
-	// count as of different speed.
-	speedStep = 0.09
+	// speedStep is the width of a class of workers that count as equally fast, as
+	// a logarithm.
+	speedStep = 0.18
 )
 
 // speed is how fast a worker does its work against others, as a logarithm. It
@@ -38,9 +38,9 @@
 	return s.mean * float64(s.count) / float64(s.count+speedPrior)
 }
 
-// class returns the speed in steps; 0 is that of most workers.
+// class returns the speed in steps; 0 is that of a usual worker.
 func (s *speed) class() int {
-	return int(math.Round(s.value() / speedStep / 2))
+	return int(math.Round(s.value() / speedStep))
 }
 
 // measureSpeed takes in how fast the members of a gang that is done worked,
--- a/internal/edge/store/client.go
+++ b/internal/edge/store/client.go
@@ -182,7 +182,7 @@
 
 // repeat makes a reading call until it is answered or ctx ends.
 func (c *Client) repeat(ctx context.Context, call func(context.Context) (Rows, error)) (Rows, error) {
-	return newRace(waitRounds*c.Usual(), func() func(context.Context) (Rows, error) { return call }).run(ctx)
+	return newHedge(waitRounds*c.Usual(), func() func(context.Context) (Rows, error) { return call }).run(ctx)
 }
 
 // Insert stores a row that must not be there yet, and tries until ctx ends or
@@ -191,7 +191,7 @@
 // if no try can have stored the row.
 func (c *Client) Insert(ctx context.Context, row Row, patience time.Duration) (Row, error) {
 	change := Change{Expect: []Row{{Key: row.Key}}, Put: []Row{row}}
-	r := newRace(waitRounds*c.Usual(), func() func(context.Context) (Outcome, error) {
+	r := newHedge(waitRounds*c.Usual(), func() func(context.Context) (Outcome, error) {
 		return func(try context.Context) (Outcome, error) { return c.Transact(try, change) }
 	})
 	r.giveUp = time.Now().Add(patience)
--- a/internal/edge/store/race.go
+++ b/internal/edge/store/hedge.go
@@ -34,10 +34,10 @@
 	err   error
 }
 
-// race is one call that is tried until a try is answered. Late tries go on
-// beside newer ones, so that a slow store is not asked for ever and a lost
-// answer is not waited for. Every try has the same effect, if any.
-type race[T any] struct {
+// hedge is a call of which further tries are sent beside those that are late,
+// so that a slow store is not asked for ever and a lost answer is not waited
+// for. The first answer counts; every try has the same effect, if any.
+type hedge[T any] struct {
 	// next prepares a try.
 	next func() func(context.Context) (T, error)
 	// giveUp is when a call that the store has refused is given up; zero is
@@ -51,9 +51,9 @@
 	ends chan ended[T]
 }
 
-// newRace returns a race that sends its second try after wait.
-func newRace[T any](wait time.Duration, next func() func(context.Context) (T, error)) *race[T] {
-	return &race[T]{
+// newHedge returns a call that sends its second try after wait.
+func newHedge[T any](wait time.Duration, next func() func(context.Context) (T, error)) *hedge[T] {
+	return &hedge[T]{
 		next:  next,
 		wait:  max(leastWait, min(wait, lastWait)),
 		pause: firstPause,
@@ -63,32 +63,32 @@
 
 // run returns the first answer. Without one it returns ErrUnanswered if a try
 // may have had an effect, else the last refusal.
-func (r *race[T]) run(ctx context.Context) (T, error) {
-	r.send(ctx)
-	timer := time.NewTimer(r.wait)
+func (h *hedge[T]) run(ctx context.Context) (T, error) {
+	h.send(ctx)
+	timer := time.NewTimer(h.wait)
 	defer timer.Stop()
 	err := error(nil)
 	for {
 		select {
 		case <-ctx.Done():
 			var none T
-			return none, r.failure(err, ctx.Err())
+			return none, h.failure(err, ctx.Err())
 		case <-timer.C:
-			r.send(ctx)
-			r.wait = min(time.Duration(waitGrowth*float64(r.wait)), lastWait)
-			timer.Reset(r.wait)
-		case e := <-r.ends:
-			r.underWay--
+			h.send(ctx)
+			h.wait = min(time.Duration(waitGrowth*float64(h.wait)), lastWait)
+			timer.Reset(h.wait)
+		case e := <-h.ends:
+			h.underWay--
 			if final(e.err) {
 				return e.value, e.err
 			}
 			err = e.err
-			r.open = r.open || !errors.Is(err, ErrRefused)
-			if r.over(time.Now()) {
-				return e.value, r.failure(err, nil)
+			h.open = h.open || !errors.Is(err, ErrRefused)
+			if h.over(time.Now()) {
+				return e.value, h.failure(err, nil)
 			}
-			if r.underWay == 0 {
-				timer.Reset(r.rest())
+			if h.underWay == 0 {
+				timer.Reset(h.rest())
 			}
 		}
 	}
@@ -100,13 +100,13 @@
 }
 
 // over reports whether the call is given up after a refusal.
-func (r *race[T]) over(now time.Time) bool {
-	return r.underWay == 0 && !r.open && !r.giveUp.IsZero() && now.After(r.giveUp)
+func (h *hedge[T]) over(now time.Time) bool {
+	return h.underWay == 0 && !h.open && !h.giveUp.IsZero() && now.After(h.giveUp)
 }
 
 // failure returns the error of a call without an answer.
-func (r *race[T]) failure(last, ended error) error {
-	if r.open || r.underWay > 0 || last == nil {
+func (h *hedge[T]) failure(last, ended error) error {
+	if h.open || h.underWay > 0 || last == nil {
 		return errors.Mark(errors.CombineErrors(last, ended), ErrUnanswered)
 	}
 	return last
@@ -114,12 +114,12 @@
 
 // send starts a try unless enough are under way. A try outlives the call, so
 // that its connection can be used again.
-func (r *race[T]) send(ctx context.Context) {
-	if r.underWay >= maxTries {
+func (h *hedge[T]) send(ctx context.Context) {
+	if h.underWay >= maxTries {
 		return
 	}
-	r.underWay++
-	try, ends := r.next(), r.ends
+	h.underWay++
+	try, ends := h.next(), h.ends
 	go func() {
 		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), tryTimeout)
 		defer cancel()
@@ -129,8 +129,8 @@
 }
 
 // rest returns the pause before the next try of a call that was refused.
-func (r *race[T]) rest() time.Duration {
-	pause := r.pause/2 + rand.N(r.pause)
-	r.pause = min(2*r.pause, lastPause)
+func (h *hedge[T]) rest() time.Duration {
+	pause := h.pause/2 + rand.N(h.pause)
+	h.pause = min(2*h.pause, lastPause)
 	return pause
 }
--- a/internal/edge/store/lane.go
+++ b/internal/edge/store/lane.go
@@ -56,7 +56,7 @@
 			return Outcome{}, ErrFenced
 		}
 		var tried [][]byte
-		outcome, err := newRace(waitRounds*l.client.Usual(), func() func(context.Context) (Outcome, error) {
+		outcome, err := newHedge(waitRounds*l.client.Usual(), func() func(context.Context) (Outcome, error) {
 			tried = append(tried, value())
 			whole := l.with(change, tried[len(tried)-1])
 			return func(try context.Context) (Outcome, error) { return l.client.Transact(try, whole) }
