--- a/internal/edge/entry/jobs.go
+++ b/internal/edge/entry/jobs.go
@@ -220,7 +220,7 @@
 	}
 	list := schema.JobList{Jobs: []schema.JobStatus{}}
 	for _, row := range found {
-		job, ok := decodeOr[schema.JobStatus](a.log, row)
+		job, ok := decodeLogged[schema.JobStatus](a.log, row)
 		if !ok {
 			continue
 		}
--- a/internal/edge/entry/operators.go
+++ b/internal/edge/entry/operators.go
@@ -263,7 +263,7 @@
 	}
 	history := schema.ConfigHistory{Versions: []schema.ConfigVersion{}}
 	for _, row := range slices.Backward(found) {
-		if version, ok := decodeOr[schema.ConfigVersion](a.log, row); ok {
+		if version, ok := decodeLogged[schema.ConfigVersion](a.log, row); ok {
 			history.Versions = append(history.Versions, version)
 		}
 	}
--- a/internal/edge/entry/poll.go
+++ b/internal/edge/entry/poll.go
@@ -73,11 +73,11 @@
 		name := row.Key.Name
 		switch {
 		case name == rows.ConfigCurrent:
-			if value, ok := decodeOr[schema.ConfigVersion](h.log, row); ok {
+			if value, ok := decodeLogged[schema.ConfigVersion](h.log, row); ok {
 				configChanged = h.view.learnConfig(value, row.Version)
 			}
 		case strings.HasPrefix(name, rows.DomainPrefix):
-			if value, ok := decodeOr[schema.DomainStatus](h.log, row); ok {
+			if value, ok := decodeLogged[schema.DomainStatus](h.log, row); ok {
 				domainsChanged = h.learnDomain(sched.Domain{Status: value, Version: row.Version}) || domainsChanged
 			}
 		default:
--- a/internal/edge/entry/rows.go
+++ b/internal/edge/entry/rows.go
@@ -46,9 +46,9 @@
 	return value, err
 }
 
-// decodeOr reads a row's value. A row that cannot be read is logged and left
+// decodeLogged reads a row's value. A row that cannot be read is logged and left
 // aside.
-func decodeOr[T any](log *zerolog.Logger, row store.Row) (T, bool) {
+func decodeLogged[T any](log *zerolog.Logger, row store.Row) (T, bool) {
 	value, err := decode[T](row)
 	if err != nil {
 		logev.RowSkipped.Log(log).Str("table", row.Key.Table).Str("row", row.Key.Name).Err(err).Send()
--- a/internal/edge/entry/shard.go
+++ b/internal/edge/entry/shard.go
@@ -195,7 +195,7 @@
 }
 
 func (o *owner) sendJob(row store.Row) {
-	if job, ok := decodeOr[schema.JobStatus](o.host.log, row); ok {
+	if job, ok := decodeLogged[schema.JobStatus](o.host.log, row); ok {
 		o.runner.Send(sched.JobMsg{Job: job})
 	}
 }
--- a/internal/edge/entry/shared.go
+++ b/internal/edge/entry/shared.go
@@ -38,11 +38,11 @@
 	name := row.Key.Name
 	switch {
 	case strings.HasPrefix(name, rows.HostPrefix):
-		if value, ok := decodeOr[hostRow](r.log, row); ok {
+		if value, ok := decodeLogged[hostRow](r.log, row); ok {
 			r.hosts[value.ID] = value
 		}
 	case strings.HasPrefix(name, rows.ShardPrefix):
-		if value, ok := decodeOr[shardRow](r.log, row); ok {
+		if value, ok := decodeLogged[shardRow](r.log, row); ok {
 			r.leases[value.Shard] = value.lease(row.Version)
 		}
 	case strings.HasPrefix(name, rows.DrainPrefix):
--- a/internal/edge/store/client.go
+++ b/internal/edge/store/client.go
@@ -191,11 +191,11 @@
 // if no try can have stored the row.
 func (c *Client) Insert(ctx context.Context, row Row, patience time.Duration) (Row, error) {
 	change := Change{Expect: []Row{{Key: row.Key}}, Put: []Row{row}}
-	r := newHedge(waitRounds*c.Usual(), func() func(context.Context) (Outcome, error) {
+	h := newHedge(waitRounds*c.Usual(), func() func(context.Context) (Outcome, error) {
 		return func(try context.Context) (Outcome, error) { return c.Transact(try, change) }
 	})
-	r.giveUp = time.Now().Add(patience)
-	outcome, err := r.run(ctx)
+	h.giveUp = time.Now().Add(patience)
+	outcome, err := h.run(ctx)
 	switch {
 	case err != nil:
 		return Row{}, err
