A stop does not wait for a change that is tried while the store is away

Found by the README's steps by hand: three hosts whose stand-in was ended first were still there 110 s after SIGTERM, with a drain timeout of 30 s. Cause: a lane was held by a lock that its last write, bounded by the stop, waited for without bound, while a renewal was tried until the store is back. Change: the lane's turn is taken within the caller's bound. Test: 'is given up in time while a change is still being tried', red before (nothing after 1 s, bound 0.2 s).

--- a/internal/edge/store/lane.go
+++ b/internal/edge/store/lane.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"slices"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 )
@@ -17,7 +16,8 @@
 	client *Client
 	key    Key
 
-	mu      sync.Mutex
+	// turn holds a value while no change is being made.
+	turn    chan struct{}
 	version int64
 	fenced  bool
 	// given holds the values of a change that was given up while it was under
@@ -27,7 +27,9 @@
 
 // NewLane returns a lane on a row with its present version.
 func NewLane(c *Client, key Key, version int64) *Lane {
-	return &Lane{client: c, key: key, version: version}
+	l := &Lane{client: c, key: key, version: version, turn: make(chan struct{}, 1)}
+	l.turn <- struct{}{}
+	return l
 }
 
 // Apply makes a change together with the lane's row, whose new value is asked
@@ -36,20 +38,39 @@
 // another expected row was different. ErrFenced says that another writer has
 // written the lane's row.
 func (l *Lane) Apply(ctx context.Context, change Change, value func() []byte) (Outcome, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	if err := l.take(ctx); err != nil {
+		return Outcome{}, err
+	}
+	defer l.leave()
 	return l.apply(ctx, change, value)
 }
 
 // Retire writes the lane's row a last time. Nothing is written after it.
 func (l *Lane) Retire(ctx context.Context, value func() []byte) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	if err := l.take(ctx); err != nil {
+		return err
+	}
+	defer l.leave()
 	_, err := l.apply(ctx, Change{}, value)
 	l.fenced = true
 	return err
 }
 
+// take waits for the change before to end, which may take as long as the store
+// is away.
+func (l *Lane) take(ctx context.Context) error {
+	select {
+	case <-l.turn:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "an earlier change is still being made")
+	}
+}
+
+func (l *Lane) leave() {
+	l.turn <- struct{}{}
+}
+
 func (l *Lane) apply(ctx context.Context, change Change, value func() []byte) (Outcome, error) {
 	for {
 		if l.fenced {
--- a/internal/edge/store/store_test.go
+++ b/internal/edge/store/store_test.go
@@ -118,6 +118,22 @@
 		Expect(s.client.Health()).NotTo(Equal(store.Down))
 	})
 
+	// A host that stops while the store is away must not wait for a change that
+	// is tried until the store is back.
+	It("is given up in time while a change is still being tried", func() {
+		lane := store.NewLane(s.client, named("shard/a"), 0)
+		s.rows.SetFaults(stand.StoreFaults{Refuse: true})
+		endless, end := context.WithCancel(ctx)
+		DeferCleanup(end)
+		go func() { _, _ = lane.Apply(endless, store.Change{}, numbered("mine")) }()
+		time.Sleep(50 * time.Millisecond)
+		limited, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+		DeferCleanup(cancel)
+		retired := make(chan error, 1)
+		go func() { retired <- lane.Retire(limited, numbered("free")) }()
+		Eventually(retired, time.Second).Should(Receive(HaveOccurred()))
+	})
+
 	It("writes nothing after it was retired", func() {
 		lane := store.NewLane(s.client, named("shard/a"), 0)
 		Expect(lane.Retire(ctx, numbered("free"))).To(Succeed())
