Every gang that fits is placed in bounded time

(1) A claim was dropped after 8 s, while the runs on its workers take up to 11 s: 45 of 115 claims ran out or were replaced. (2) A dropped claim's slot went to gangs that were still on time, so a late one had none for 35 s. (3) A gang past its deadline claimed nothing and came last. (4) A gang was skipped in a pass when one of its shape had been held back only for headroom, or when it had workers of its own by a claim. (5) A gang whose data lies in a rack that cannot hold it waited for a cluster that is half idle. Claims also ignored labels, data and spread limits.

Ruled out: that the queue held it for a shortage of free workers (85 were idle).

Change: claims last until their workers are expected free, and 4 s more; a lost worker is replaced at once; work that ends before then may use them (backfill). Only a team within its guarantee may use or stop what they hold.

--- a/internal/core/plan/claim.go
+++ b/internal/core/plan/claim.go
@@ -11,30 +11,60 @@
 	// wideGangShare is the share of the largest rack from which on a gang
 	// counts as wide.
 	wideGangShare = 0.4
-	// claimTimeout limits how long a gang holds a claim.
-	claimTimeout = 8 * time.Second
+	// claimOverrun is how much later than expected the workers of a claim may
+	// become free before the claim is given up.
+	claimOverrun = 4 * time.Second
 	// racksPerClaim limits the claims held at the same time: one for each
 	// racksPerClaim racks, and at least one.
 	racksPerClaim = 4
 )
 
-// claim prevents other gangs of the same or a lower priority from using some
-// workers until a wide gang fits on them. Without claims, small gangs take each
-// place as it becomes free, and wide ones starve.
-func (m *Model) claim(now time.Time, r rankedGang) {
+// claim prevents other gangs from using some workers until a gang fits on them.
+// Without claims, small gangs take each place as it becomes free, and wide ones
+// starve.
+type claim struct {
+	workers []*worker
+	// freeAt is when all of the workers are expected to be free. Work that ends
+	// before that may use them meanwhile.
+	freeAt time.Time
+	// overdue claims are kept against work of every priority, and for as long as
+	// the gang waits.
+	overdue bool
+}
+
+// claimFor claims workers for a gang that could not be placed, if it is overdue
+// or wide.
+func (m *Model) claimFor(now time.Time, r rankedGang) {
 	g := r.gang
-	if len(g.claimed) > 0 || r.lateness == tooLate || now.Sub(g.readyAt) < claimAfter {
+	if len(g.claim.workers) > 0 && g.claim.overdue == r.overdue {
 		return
 	}
-	if m.claims >= max(1, len(m.racks)/racksPerClaim) || !m.wide(g) {
+	if !r.overdue && !m.mayClaim(now, r) {
 		return
 	}
-	workers := m.workersToClaim(now, g)
+	m.unclaim(g)
+	m.setClaim(now, g, r.overdue)
+}
+
+// mayClaim reports whether workers may be claimed for a gang that is not
+// overdue.
+func (m *Model) mayClaim(now time.Time, r rankedGang) bool {
+	switch {
+	case len(r.gang.claim.workers) > 0, r.lateness == tooLate, now.Sub(r.gang.readyAt) < claimAfter:
+		return false
+	default:
+		return m.claims < max(1, len(m.racks)/racksPerClaim) && m.wide(r.gang)
+	}
+}
+
+// setClaim claims the workers on which the gang will fit soonest, if there are
+// enough.
+func (m *Model) setClaim(now time.Time, g *gang, overdue bool) {
+	workers, freeAt := m.workersToClaim(now, g)
 	if workers == nil {
 		return
 	}
-	g.claimed = workers
-	g.claimUntil = now.Add(claimTimeout)
+	g.claim = claim{workers: workers, freeAt: freeAt, overdue: overdue}
 	for _, w := range workers {
 		w.claimedBy = g
 	}
@@ -44,23 +74,31 @@
 
 // unclaim releases the gang's claim.
 func (m *Model) unclaim(g *gang) {
-	if len(g.claimed) == 0 {
+	if len(g.claim.workers) == 0 {
 		return
 	}
-	for _, w := range g.claimed {
+	for _, w := range g.claim.workers {
 		if w.claimedBy == g {
 			w.claimedBy = nil
 		}
 	}
-	g.claimed = nil
+	g.claim = claim{}
 	m.claims--
 	m.changed = true
 }
 
-// claimedByOther reports whether the worker is claimed for another gang of the
-// same or a higher priority.
-func (w *worker) claimedByOther(g *gang) bool {
-	return w.claimedBy != nil && w.claimedBy != g && g.job.queue.Priority >= w.claimedBy.job.queue.Priority
+// closedTo reports whether the worker is claimed for another gang and may not
+// be used by g: unless g will have ended by the time the claim needs the worker,
+// or is more urgent and the claim is not overdue.
+func (m *Model) closedTo(now time.Time, w *worker, g *gang) bool {
+	holder := w.claimedBy
+	if holder == nil || holder == g {
+		return false
+	}
+	if !holder.claim.overdue && g.job.queue.Priority < holder.job.queue.Priority {
+		return false
+	}
+	return now.Add(m.expectedDuration(g)).After(holder.claim.freeAt)
 }
 
 // wide reports whether the gang takes a large share of a rack, measured in the
@@ -69,7 +107,7 @@
 	largest := 0
 	for _, rk := range m.racks {
 		if rk.target == g.job.queue.Target {
-			largest = max(largest, slotsWhenEmpty(g, rk.workers))
+			largest = max(largest, m.slotsWhenEmpty(g, rk.workers))
 		}
 	}
 	return float64(g.size) >= wideGangShare*float64(largest)
@@ -77,38 +115,54 @@
 
 // slotsWhenEmpty returns how many tasks of the gang the workers can hold when
 // empty.
-func slotsWhenEmpty(g *gang, workers []*worker) int {
+func (m *Model) slotsWhenEmpty(g *gang, workers []*worker) int {
 	slots := 0
 	for _, w := range workers {
-		if w.listed && !w.Draining {
-			slots += fitCount(g.need(), w.Capacity)
+		if w.listed && !w.Draining && !m.outOfService[w.Domain] && m.eligible(g, w) {
+			slots += g.slotsOnEmpty(w)
 		}
 	}
 	return slots
 }
 
-// expireClaims releases claims that have timed out or have lost a worker.
-func (m *Model) expireClaims(now time.Time) {
+// slotsOnEmpty returns how many tasks of the gang an empty worker can hold.
+func (g *gang) slotsOnEmpty(w *worker) int {
+	slots := fitCount(g.need(), w.Capacity)
+	if limit := g.spec().SpreadLimit; limit > 0 {
+		slots = min(slots, limit)
+	}
+	return slots
+}
+
+// renewClaims releases claims that wait longer than expected, and replaces
+// those that have lost a worker.
+func (m *Model) renewClaims(now time.Time) {
 	if m.claims == 0 {
 		return
 	}
 	for _, g := range m.queue {
-		if len(g.claimed) == 0 {
+		if len(g.claim.workers) == 0 {
 			continue
 		}
-		lost := slices.ContainsFunc(g.claimed, func(w *worker) bool { return !m.usable(now, w) })
-		if lost || now.After(g.claimUntil) {
+		overdue := g.claim.overdue
+		switch {
+		case slices.ContainsFunc(g.claim.workers, func(w *worker) bool { return !m.usable(now, w) }):
+			m.unclaim(g)
+			m.setClaim(now, g, overdue)
+		case !overdue && now.After(g.claim.freeAt.Add(claimOverrun)):
 			m.unclaim(g)
 		}
 	}
 }
 
 // workersToClaim returns the workers on which the gang will fit soonest if
-// nothing else is placed there.
-func (m *Model) workersToClaim(now time.Time, g *gang) []*worker {
+// nothing else is placed there, and when it will.
+func (m *Model) workersToClaim(now time.Time, g *gang) ([]*worker, time.Time) {
+	if g.spec().NearRack != "" && m.fitsNearData(g) {
+		return m.soonestEmpty(now, g, m.workersNearData(g))
+	}
 	if !g.spec().SameRack || !m.fitsEmptyRack(g) {
-		workers, _ := m.soonestEmpty(now, g, m.sortedWorkers)
-		return workers
+		return m.soonestEmpty(now, g, m.sortedWorkers)
 	}
 	var best []*worker
 	var bestAt time.Time
@@ -121,7 +175,7 @@
 			best, bestAt = workers, at
 		}
 	}
-	return best
+	return best, bestAt
 }
 
 // soonestEmpty returns those of the given workers that are expected to be empty
@@ -133,26 +187,35 @@
 	}
 	var candidates []emptying
 	for _, w := range workers {
-		if w.Target != g.job.queue.Target || w.claimedBy != nil || !m.usable(now, w) || w.slow(now) {
+		if w.claimedBy != nil || !m.eligible(g, w) || !m.usable(now, w) || w.slow(now) {
 			continue
 		}
-		at := now
-		for _, r := range w.runs {
-			if r.gang != nil {
-				at = later(at, m.expectedEnd(now, r))
-			}
-		}
-		candidates = append(candidates, emptying{w, at})
+		candidates = append(candidates, emptying{w, m.expectedEmpty(now, w)})
 	}
 	slices.SortStableFunc(candidates, func(a, b emptying) int { return a.at.Compare(b.at) })
 	var chosen []*worker
 	slots := 0
 	for _, c := range candidates {
+		n := g.slotsOnEmpty(c.worker)
+		if n == 0 {
+			continue
+		}
 		chosen = append(chosen, c.worker)
-		slots += fitCount(g.need(), c.worker.Capacity)
+		slots += n
 		if slots >= g.size {
 			return chosen, c.at
 		}
 	}
 	return nil, time.Time{}
 }
+
+// expectedEmpty returns when all runs of the worker are expected to have ended.
+func (m *Model) expectedEmpty(now time.Time, w *worker) time.Time {
+	at := now
+	for _, r := range w.runs {
+		if r.gang != nil {
+			at = later(at, m.expectedEnd(now, r))
+		}
+	}
+	return at
+}
--- a/internal/core/plan/headroom.go
+++ b/internal/core/plan/headroom.go
@@ -40,17 +40,19 @@
 	return m.urgent.perSecond * headroomSpan.Seconds()
 }
 
-// leavesHeadroom reports whether a gang may take its places now. An urgent gang
-// always may. Any other may if enough idle workers remain, if it takes no idle
-// worker, or if it has used up its share of slack.
-func (m *Model) leavesHeadroom(now time.Time, r rankedGang, places []*worker) bool {
-	if r.priority == 0 {
+// mayUseHeadroom reports whether a gang may take places that are kept free for
+// urgent gangs: if it is urgent or overdue, or has used up its share of slack.
+func (m *Model) mayUseHeadroom(now time.Time, r rankedGang) bool {
+	if r.priority == 0 || r.overdue {
 		return true
 	}
 	slack := r.startBy.Sub(r.gang.readyAt)
-	if now.After(r.gang.readyAt.Add(time.Duration(headroomSlackShare * float64(slack)))) {
-		return true
-	}
+	return now.After(r.gang.readyAt.Add(time.Duration(headroomSlackShare * float64(slack))))
+}
+
+// leavesHeadroom reports whether enough idle workers remain for urgent gangs
+// when a gang takes its places, or whether it takes no idle worker.
+func (m *Model) leavesHeadroom(now time.Time, r rankedGang, places []*worker) bool {
 	newlyUsed := map[*worker]bool{}
 	for _, w := range places {
 		if len(w.runs) == 0 {
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -51,9 +51,10 @@
 
 	runs   []*run
 	places []*worker
-	// claimed lists the workers that are kept free for the gang.
-	claimed    []*worker
-	claimUntil time.Time
+	// claim holds the workers that are kept free for the gang.
+	claim claim
+	// overdue is set when the gang was placed because it was overdue.
+	overdue bool
 	// preemptions counts how often the gang was preempted.
 	preemptions int
 	// deadline is when a reservation times out, or by when all members of an
--- a/internal/core/plan/pace.go
+++ b/internal/core/plan/pace.go
@@ -125,7 +125,7 @@
 		}
 		moveTime := time.Duration(redo) + m.timing.TaskStop + moveWait
 		gain := m.valueAt(g.job, now.Add(moveTime)) - m.valueAt(g.job, now.Add(stayTime))
-		gain += m.coreSecondValue() * float64(g.size) * coreEquivalents(g.need()) * (stayTime - moveTime).Seconds()
+		gain += m.coreSecondValue() * g.coreEquivalents() * (stayTime - moveTime).Seconds()
 		if gain <= m.lostWorkCost(now, g) {
 			continue
 		}
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -53,6 +53,8 @@
 	priority int
 	// startBy is the latest start with which the gang ends on time.
 	startBy time.Time
+	// overdue gangs come first, oldest first.
+	overdue bool
 }
 
 // rank computes the sort keys of a waiting gang.
@@ -71,17 +73,29 @@
 	return r
 }
 
-// compareRanked orders gangs by priority, then by lateness, then by their
-// latest start. Gangs that are too late come last whatever their priority.
+// compareRanked puts overdue gangs first, in order of age. It orders the others
+// by priority, then by lateness, then by their latest start. Gangs that are too
+// late come last whatever their priority.
 func compareRanked(a, b rankedGang) int {
+	if a.overdue && b.overdue {
+		return cmp.Or(a.gang.readyAt.Compare(b.gang.readyAt), compareTasks(a.gang, b.gang))
+	}
 	return cmp.Or(
+		falseFirst(!a.overdue, !b.overdue),
 		falseFirst(a.lateness == tooLate, b.lateness == tooLate),
 		cmp.Compare(a.priority, b.priority),
 		cmp.Compare(a.lateness, b.lateness),
 		a.startBy.Compare(b.startBy),
-		cmp.Compare(a.gang.job.spec.ID, b.gang.job.spec.ID),
-		cmp.Compare(a.gang.step, b.gang.step),
-		cmp.Compare(a.gang.first, b.gang.first),
+		compareTasks(a.gang, b.gang),
+	)
+}
+
+// compareTasks orders gangs by job, step and first task.
+func compareTasks(a, b *gang) int {
+	return cmp.Or(
+		cmp.Compare(a.job.spec.ID, b.job.spec.ID),
+		cmp.Compare(a.step, b.step),
+		cmp.Compare(a.first, b.first),
 	)
 }
 
@@ -107,18 +121,23 @@
 	near     string
 	label    string
 	priority int
+	// waitedForRack is set for a gang that may give up its locality.
+	waitedForRack bool
 	// spreadJob is the job of a step with a limit for each worker. For such a
 	// step, capacity depends on where the job's tasks already are.
 	spreadJob string
 }
 
-func (r rankedGang) placementKey() placementKey {
+func (r rankedGang) placementKey(now time.Time) placementKey {
 	g := r.gang
 	s := g.spec()
 	key := placementKey{
 		target: g.job.queue.Target, need: s.Need, size: g.size, sameRack: s.SameRack && g.size > 1,
 		near: s.NearRack, label: s.Label, priority: r.priority,
 	}
+	if key.near != "" || key.sameRack {
+		key.waitedForRack = g.waitedForRack(now)
+	}
 	if s.SpreadLimit > 0 {
 		key.spreadJob = g.job.spec.ID
 	}
@@ -133,40 +152,56 @@
 	m.changed = false
 	m.nextPass = now.Add(maxPassInterval)
 	m.soonestPass = now.Add(minPassInterval + time.Duration(len(m.queue))*minPassIntervalPerGang)
-	m.expireClaims(now)
 	m.refreshView(now)
+	m.renewClaims(now)
 	ranked := make([]rankedGang, 0, len(m.queue))
 	for _, g := range m.queue {
 		ranked = append(ranked, m.rankOf(now, g))
 	}
+	m.markOverdue(now, ranked)
 	slices.SortFunc(ranked, compareRanked)
-	failed := map[placementKey]struct{}{}
+	failed := failedKeys{noPlaces: map[placementKey]bool{}, noHeadroom: map[placementKey]bool{}}
 	for _, r := range ranked {
 		m.tryPlace(now, r, failed)
 	}
 }
 
+// failedKeys holds the keys of gangs that could not be placed in a pass, since
+// there are no places for them, or since these would take headroom.
+type failedKeys struct {
+	noPlaces, noHeadroom map[placementKey]bool
+}
+
 // tryPlace places the gang if it can. Otherwise it preempts for an urgent gang,
-// or claims workers for a wide one. failed holds the keys that could not be
-// placed in this pass; a gang that avoids workers on which it has failed adds
-// none, since other gangs may use these workers.
-func (m *Model) tryPlace(now time.Time, r rankedGang, failed map[placementKey]struct{}) {
+// or claims workers for an overdue or a wide one. A gang is skipped if another
+// with the same key has failed for a reason that holds for both: a gang with a
+// claim has workers of its own, and one that avoids workers on which it has
+// failed adds no key, since other gangs may use these workers.
+func (m *Model) tryPlace(now time.Time, r rankedGang, failed failedKeys) {
 	g := r.gang
-	key := r.placementKey()
-	if _, known := failed[key]; known {
+	key := r.placementKey(now)
+	shared := len(g.claim.workers) == 0 && !r.overdue
+	mayUseHeadroom := m.mayUseHeadroom(now, r)
+	if shared && (failed.noPlaces[key] || !mayUseHeadroom && failed.noHeadroom[key]) {
 		return
 	}
-	if places := m.findPlaces(now, g, nil); places != nil && m.leavesHeadroom(now, r, places) {
+	places := m.findPlaces(now, g, nil)
+	if places != nil && (mayUseHeadroom || m.leavesHeadroom(now, r, places)) {
 		m.dequeue(g)
+		g.overdue = r.overdue
 		m.place(now, g, places)
 		return
 	}
 	if r.priority == 0 && m.preempt(now, g) {
 		return
 	}
-	m.claim(now, r)
-	if len(g.failedOn) == 0 {
-		failed[key] = struct{}{}
+	m.claimFor(now, r)
+	switch {
+	case !shared, len(g.failedOn) > 0:
+	case places != nil:
+		failed.noHeadroom[key] = true
+	default:
+		failed.noPlaces[key] = true
 	}
 }
 
@@ -174,6 +209,14 @@
 // placement that needs other gangs to be stopped first.
 type freeOverlay struct {
 	free map[*worker]record.Amount
+	// ignoreClaims is set if the gang may use workers that are claimed for
+	// others.
+	ignoreClaims bool
+}
+
+// allowsClaimed reports whether the gang may use workers claimed for others.
+func (o *freeOverlay) allowsClaimed() bool {
+	return o != nil && o.ignoreClaims
 }
 
 // freeOn returns the worker's capacity that is free for gangs without a
@@ -195,7 +238,7 @@
 		if places := m.findPlacesAmong(now, g, overlay, m.workersNearData(g)); places != nil {
 			return places
 		}
-		if !m.mayGiveUpLocality(now, g) {
+		if m.fitsNearData(g) && !m.mayGiveUpLocality(now, g) {
 			return nil
 		}
 	}
@@ -222,11 +265,17 @@
 	return nil
 }
 
+// fitsNearData reports whether the rack with the gang's data could hold the gang
+// if it were empty.
+func (m *Model) fitsNearData(g *gang) bool {
+	return m.slotsWhenEmpty(g, m.workersNearData(g)) >= g.size
+}
+
 // mayGiveUpLocality reports whether a gang may run away from its data or across
 // racks. It then runs, and holds its capacity, several times as long, so this
 // is allowed only after a wait and while enough capacity is free.
 func (m *Model) mayGiveUpLocality(now time.Time, g *gang) bool {
-	if now.Sub(g.readyAt) < localityWait {
+	if !g.waitedForRack(now) {
 		return false
 	}
 	used, all := 0, 0
@@ -237,6 +286,12 @@
 	return float64(used) < localityMaxUse*float64(all)
 }
 
+// waitedForRack reports whether the gang has waited long enough to give up
+// places with good locality.
+func (g *gang) waitedForRack(now time.Time) bool {
+	return now.Sub(g.readyAt) >= localityWait
+}
+
 const (
 	// localityWait is the least time that a gang waits for places with good
 	// locality.
@@ -279,7 +334,7 @@
 		if rk.target != g.job.queue.Target {
 			continue
 		}
-		slots := slotsWhenEmpty(g, rk.workers)
+		slots := m.slotsWhenEmpty(g, rk.workers)
 		if slots >= g.size {
 			return true
 		}
@@ -287,18 +342,26 @@
 	return false
 }
 
+// eligible reports whether the gang may run on the worker at all: the worker
+// has the target and label that the gang asks for, and the gang has not failed
+// there.
+func (m *Model) eligible(g *gang, w *worker) bool {
+	if w.Target != g.job.queue.Target || g.failedOn[w.ID] && !m.view.scarce {
+		return false
+	}
+	label := g.spec().Label
+	return label == "" || slices.Contains(w.Labels, label)
+}
+
 // slots returns how many tasks of the gang the worker can take now.
 func (m *Model) slots(now time.Time, g *gang, w *worker, overlay *freeOverlay) int {
-	if w.Target != g.job.queue.Target || !m.usable(now, w) || g.failedOn[w.ID] && !m.view.scarce {
+	if !m.eligible(g, w) || !m.usable(now, w) || w.slow(now) && !m.view.scarce {
 		return 0
 	}
-	if w.claimedByOther(g) || w.slow(now) && !m.view.scarce {
+	if !overlay.allowsClaimed() && m.closedTo(now, w, g) {
 		return 0
 	}
 	s := g.spec()
-	if s.Label != "" && !slices.Contains(w.Labels, s.Label) {
-		return 0
-	}
 	n := fitCount(s.Need, overlay.freeOn(w))
 	if s.SpreadLimit > 0 {
 		n = min(n, max(0, s.SpreadLimit-m.tasksOn(g, w)))
--- a/internal/core/plan/preempt.go
+++ b/internal/core/plan/preempt.go
@@ -130,13 +130,14 @@
 
 // mayPreempt reports whether g may preempt v: if v has a lower priority, or,
 // when a guarantee has to be met (forced), if v belongs to another team that
-// exceeds its own guarantee.
+// exceeds its own guarantee. Gangs that were placed because they were overdue
+// are stopped only to meet a guarantee.
 func (m *Model) mayPreempt(g, v *gang, forced bool) bool {
 	if v == nil || v.phase != placed || v.job == g.job {
 		return false
 	}
 	if v.job.queue.Priority > g.job.queue.Priority {
-		return true
+		return forced || !v.overdue
 	}
 	return forced && v.job.spec.Team != g.job.spec.Team && !m.withinGuarantee(v.job.spec.Team)
 }
@@ -186,7 +187,13 @@
 func (m *Model) preemptAmong(now time.Time, g *gang, forced bool, workers []*worker, costs map[*gang]float64) (preemption, bool) {
 	victims, free := m.victimsAmong(now, g, forced, workers, costs)
 	needed := g.size * g.need().Accelerators
-	overlay := &freeOverlay{free: map[*worker]record.Amount{}}
+	overlay := newPreemptionOverlay(forced)
+	if forced {
+		// Workers that are free but claimed for other gangs may be enough.
+		if places := m.findPlacesAmong(now, g, overlay, workers); places != nil {
+			return preemption{places: places}, true
+		}
+	}
 	var chosen []victim
 	for _, v := range victims {
 		m.releaseInto(overlay, v.gang)
@@ -196,12 +203,18 @@
 			continue
 		}
 		if places := m.findPlacesAmong(now, g, overlay, workers); places != nil {
-			return m.pruneVictims(now, g, chosen, places, workers), true
+			return m.pruneVictims(now, g, forced, chosen, places, workers), true
 		}
 	}
 	return preemption{}, false
 }
 
+// newPreemptionOverlay returns an overlay without changes. Claims do not count
+// when a guarantee has to be met (forced).
+func newPreemptionOverlay(forced bool) *freeOverlay {
+	return &freeOverlay{free: map[*worker]record.Amount{}, ignoreClaims: forced}
+}
+
 // releaseInto adds the capacity of a gang's runs to the overlay.
 func (m *Model) releaseInto(overlay *freeOverlay, g *gang) {
 	for _, r := range g.runs {
@@ -211,11 +224,11 @@
 
 // pruneVictims leaves out the victims without which the gang fits as well,
 // most expensive first.
-func (m *Model) pruneVictims(now time.Time, g *gang, chosen []victim, places []*worker, workers []*worker) preemption {
+func (m *Model) pruneVictims(now time.Time, g *gang, forced bool, chosen []victim, places []*worker, workers []*worker) preemption {
 	slices.SortFunc(chosen, func(a, b victim) int { return cmp.Compare(b.cost, a.cost) })
 	for i := 0; i < len(chosen); {
 		remaining := slices.Delete(slices.Clone(chosen), i, i+1)
-		overlay := &freeOverlay{free: map[*worker]record.Amount{}}
+		overlay := newPreemptionOverlay(forced)
 		for _, v := range remaining {
 			m.releaseInto(overlay, v.gang)
 		}
--- a/internal/core/plan/value.go
+++ b/internal/core/plan/value.go
@@ -81,7 +81,7 @@
 	if g.spec().SavesProgress {
 		spent = min(spent, m.timing.CheckpointEvery/2) + m.timing.Restore
 	}
-	return float64(g.size) * coreEquivalents(g.need()) * spent.Seconds() * lostCoreSecondCost
+	return g.coreEquivalents() * spent.Seconds() * lostCoreSecondCost
 }
 
 // preemptionCost returns the cost of stopping the gang: the lost work, and the
