--- a/internal/edge/store/hedge.go
+++ b/internal/edge/store/hedge.go
@@ -77,7 +77,9 @@
 			var zero T
 			return zero, h.failure(err, ctx.Err())
 		case <-timer.C:
-			h.send(ctx)
+			if err == nil || !h.refused(time.Now()) {
+				h.send(ctx)
+			}
 			h.hedgeDelay = min(time.Duration(hedgeDelayGrowth*float64(h.hedgeDelay)), maxHedgeDelay)
 			timer.Reset(h.hedgeDelay)
 		case r := <-h.results:
@@ -87,12 +89,13 @@
 			}
 			err = r.err
 			h.mayHaveApplied = h.mayHaveApplied || !errors.Is(err, ErrRefused)
-			if h.shouldGiveUp(time.Now()) {
-				return r.value, h.failure(err, nil)
+			if h.inFlight > 0 {
+				continue
 			}
-			if h.inFlight == 0 {
-				timer.Reset(h.nextBackoff())
+			if h.refused(time.Now()) {
+				return r.value, h.failure(err, nil)
 			}
+			timer.Reset(h.nextBackoff())
 		}
 	}
 }
@@ -102,9 +105,11 @@
 	return err == nil || errors.Is(err, ErrInvalid) || errors.Is(err, ErrHistoryGone)
 }
 
-// shouldGiveUp reports whether to give the call up because the store refuses it.
-func (h *hedgedCall[T]) shouldGiveUp(now time.Time) bool {
-	return h.inFlight == 0 && !h.mayHaveApplied && !h.refusalDeadline.IsZero() && now.After(h.refusalDeadline)
+// refused reports whether the store has refused the call until the refusal
+// deadline. No attempt is sent after that, so that the attempts under way decide
+// the outcome.
+func (h *hedgedCall[T]) refused(now time.Time) bool {
+	return !h.mayHaveApplied && !h.refusalDeadline.IsZero() && now.After(h.refusalDeadline)
 }
 
 // failure returns the error of a call without an answer. last is the error of the
