A host that cannot reach the store serves its callers through a peer

Ruled out: shorter Retry-After, which only sends callers to other hosts that are cut off.

Change: edge/relay. A host asks a peer, over WebSocket and CBOR, to insert one row or to read, once the store has failed or has not answered for 0.4 s. Now and then it tries the store itself. What it asks includes the operators' changes, so that a peer also vouches for the age of the configuration. A peer uses its own connections only, inserts into the jobs table only, and a leader is never relayed. A call counts as refused only if neither way can have carried it out. Hosts learn addresses from rows that each of them refreshes.

--- a/internal/edge/fleet/host.go
+++ b/internal/edge/fleet/host.go
@@ -17,6 +17,7 @@
 
 	"github.com/rattanshore/rattanshore/internal/core/gate"
 	"github.com/rattanshore/rattanshore/internal/core/rules"
+	"github.com/rattanshore/rattanshore/internal/edge/relay"
 	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
 	"github.com/rattanshore/rattanshore/internal/ops/metrc"
@@ -43,11 +44,15 @@
 	incarnation string
 	log         *zerolog.Logger
 	clock       func() time.Time
-	store       *store.Client
-	workers     Workers
-	directory   Directory
-	frontend    *frontend
-	meter       *metrc.Fleet
+	// store is this host's own client of the platform's store. Whatever only the
+	// leader does goes through it.
+	store     *store.Client
+	workers   Workers
+	directory Directory
+	frontend  *frontend
+	registry  *registry
+	relay     http.Handler
+	meter     *metrc.Fleet
 	// sequence makes each value of the leader row unique.
 	sequence atomic.Int64
 
@@ -59,20 +64,43 @@
 	notifyPlanner func()
 }
 
+// Stores are the two ways in which a host uses the platform's store.
+type Stores struct {
+	// Direct uses this host's own connections only.
+	Direct *store.Client
+	// Relayed uses a peer's when those fail. Callers' calls go through it.
+	Relayed *store.Client
+	// Links is told the addresses of the peers.
+	Links *relay.Links
+}
+
+// NewStores returns the ways to use the store whose own connections are direct.
+func NewStores(direct store.Store, log *zerolog.Logger, meter *metrc.Store) Stores {
+	links := relay.NewLinks()
+	return Stores{
+		Direct:  store.NewClient(direct, meter),
+		Relayed: store.NewClient(relay.NewStore(direct, links, log), meter),
+		Links:   links,
+	}
+}
+
 // New returns a host. Run starts it.
-func New(settings setng.Fleet, log *zerolog.Logger, meter *metrc.Fleet, clock func() time.Time, s *store.Client, workers Workers, directory Directory) *Host {
-	return &Host{
+func New(settings setng.Fleet, log *zerolog.Logger, meter *metrc.Fleet, clock func() time.Time, s Stores, workers Workers, directory Directory) *Host {
+	h := &Host{
 		settings:     settings,
 		incarnation:  uuid.NewString(),
 		log:          log,
 		clock:        clock,
-		store:        s,
+		store:        s.Direct,
 		workers:      workers,
 		directory:    directory,
-		frontend:     newFrontend(s, clock, log, meter, gate.New(settings.Timing.KeyAge)),
+		frontend:     newFrontend(s.Relayed, clock, log, meter, gate.New(settings.Timing.KeyAge)),
+		relay:        relay.Handler(relay.NewServer(s.Direct, []string{tableJobs}, log)),
 		meter:        meter,
 		outOfService: map[string]bool{},
 	}
+	h.registry = &registry{host: h, links: s.Links}
+	return h
 }
 
 // Frontend returns the frontend that answers callers.
@@ -83,7 +111,7 @@
 // Run serves callers, the load balancer's readiness checks and metrics until ctx
 // ends, and then stops gracefully.
 func (h *Host) Run(ctx context.Context, callers, ready http.Handler) error {
-	servers := []*http.Server{h.server(callers), h.server(ready), h.server(http.HandlerFunc(h.metrics))}
+	servers := []*http.Server{h.server(callers), h.server(ready), h.server(http.HandlerFunc(h.servePeers))}
 	addresses := []string{
 		h.settings.Listen.Callers.String(), h.settings.Listen.Ready.String(), h.settings.Listen.Peers.String(),
 	}
@@ -101,6 +129,7 @@
 	electionCtx, stopElection := context.WithCancel(workCtx)
 	electionDone := make(chan struct{})
 	go h.followOperatorChanges(workCtx)
+	go h.registry.run(workCtx)
 	go func() {
 		defer close(electionDone)
 		h.runElection(electionCtx)
@@ -115,13 +144,16 @@
 	return nil
 }
 
-// metrics serves the host's metrics.
-func (h *Host) metrics(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != metricsPath {
+// servePeers serves links of peers and the host's metrics.
+func (h *Host) servePeers(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case metricsPath:
+		h.meter.Write(w)
+	case relay.Path:
+		h.relay.ServeHTTP(w, r)
+	default:
 		w.WriteHeader(http.StatusNotFound)
-		return
 	}
-	h.meter.Write(w)
 }
 
 func (h *Host) server(handler http.Handler) *http.Server {
--- a/internal/edge/fleet/host_test.go
+++ b/internal/edge/fleet/host_test.go
@@ -19,7 +19,6 @@
 	"github.com/rattanshore/rattanshore/internal/core/rules"
 	"github.com/rattanshore/rattanshore/internal/edge/clock"
 	"github.com/rattanshore/rattanshore/internal/edge/fleet"
-	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/metrc"
 	"github.com/rattanshore/rattanshore/internal/ops/setng"
 	"github.com/rattanshore/rattanshore/internal/wire/record"
@@ -38,15 +37,21 @@
 }
 
 func startHost(p *fake.Platform, name string) *testHost {
+	return startHostWithStore(p.Address(), name, 2*time.Second)
+}
+
+// startHostWithStore starts a host that reaches the store at an address of its own
+// and accepts keys for keyAge after the configuration was last confirmed.
+func startHostWithStore(address netip.AddrPort, name string, keyAge time.Duration) *testHost {
 	settings := setng.DefaultFleet()
 	settings.Host = setng.Host{ID: name, Domain: "hall-a"}
 	settings.Listen = setng.FleetListen{Callers: freePort(), Ready: freePort(), Peers: freePort()}
-	settings.Store = p.Address()
+	settings.Store = address
 	settings.Timing.DrainNotice = 50 * time.Millisecond
-	settings.Timing.KeyAge = 2 * time.Second
+	settings.Timing.KeyAge = keyAge
 	log, meter, steady := zerolog.Nop(), metrc.NewFleet(), clock.New()
-	rows := store.NewClient(platform.NewStore(settings.Store, settings.Host.ID), &meter.Store)
-	host := fleet.New(settings, &log, meter, steady.Now, rows, platform.NewWorkers(steady.Now), platform.NewDirectory(rows))
+	stores := fleet.NewStores(platform.NewStore(settings.Store, settings.Host.ID), &log, &meter.Store)
+	host := fleet.New(settings, &log, meter, steady.Now, stores, platform.NewWorkers(steady.Now), platform.NewDirectory(stores.Relayed))
 	ingress := platform.NewIngress(host.Frontend(), steady.Now)
 	ctx, stop := context.WithCancel(context.Background())
 	h := &testHost{callers: settings.Listen.Callers, stop: stop, done: make(chan struct{})}
--- a/internal/edge/fleet/rows.go
+++ b/internal/edge/fleet/rows.go
@@ -20,9 +20,13 @@
 	// leader writes it.
 	tableLeader = "lead"
 
+	// tableHosts holds the address of each host under its identifier.
+	tableHosts = "hosts"
+
 	cancelSuffix = "/cancel"
 )
 
+func hostKey(id string) store.Key     { return store.Key{Table: tableHosts, Name: id} }
 func jobKey(id string) store.Key      { return store.Key{Table: tableJobs, Name: id} }
 func cancelKey(id string) store.Key   { return store.Key{Table: tableJobs, Name: id + cancelSuffix} }
 func progressKey(id string) store.Key { return store.Key{Table: tableProgress, Name: id} }
--- /dev/null
+++ b/internal/edge/relay/server.go
@@ -0,0 +1,127 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/rattanshore/rattanshore/internal/edge/store"
+	"github.com/rattanshore/rattanshore/internal/ops/logev"
+	wire "github.com/rattanshore/rattanshore/internal/wire/relay"
+)
+
+const (
+	// maxCallsPerLink limits the calls that one peer may have in progress.
+	maxCallsPerLink = 64
+	// storeTimeout bounds a call to the store for a peer, apart from its wait for
+	// changes. The peer has given up by then.
+	storeTimeout = time.Second
+	// maxWait bounds how long a peer may let the store wait for a change.
+	maxWait = 5 * time.Second
+)
+
+// errNotAllowed means that a peer has asked for something that is not relayed.
+var errNotAllowed = errors.New("request is not relayed")
+
+// Server carries out the calls of peers.
+type Server struct {
+	store store.Store
+	// insertable lists the tables into which peers may insert rows.
+	insertable []string
+	log        *zerolog.Logger
+}
+
+// NewServer returns a server that uses this host's own connections to the store.
+func NewServer(direct store.Store, insertable []string, log *zerolog.Logger) *Server {
+	return &Server{store: direct, insertable: insertable, log: log}
+}
+
+// accept serves one link until it breaks. A message that cannot be decoded ends it.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request) {
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.CloseNow() }()
+	conn.SetReadLimit(maxMessageBytes)
+	slots := make(chan struct{}, maxCallsPerLink)
+	for {
+		_, data, err := conn.Read(r.Context())
+		if err != nil {
+			return
+		}
+		request, err := Decode(data)
+		if err != nil {
+			logev.RelayRefused.Log(s.log).Str("peer", r.RemoteAddr).Err(err).Send()
+			return
+		}
+		slots <- struct{}{}
+		go func() {
+			defer func() { <-slots }()
+			s.answer(r.Context(), conn, request)
+		}()
+	}
+}
+
+// Decode decodes one request.
+func Decode(data []byte) (wire.Request, error) {
+	var request wire.Request
+	err := cbor.Unmarshal(data, &request)
+	return request, err
+}
+
+// answer carries out a request and sends the response.
+func (s *Server) answer(ctx context.Context, conn *websocket.Conn, request wire.Request) {
+	response := s.perform(ctx, request)
+	data, err := cbor.Marshal(response)
+	if err != nil {
+		logev.InternalProblem.Log(s.log).Err(err).Send()
+		return
+	}
+	// A peer that gets no response counts the outcome as unknown.
+	_ = conn.Write(ctx, websocket.MessageBinary, data)
+}
+
+// perform carries out a request and returns the response.
+func (s *Server) perform(ctx context.Context, request wire.Request) wire.Response {
+	wait := min(max(0, time.Duration(request.WaitMillis)*time.Millisecond), maxWait)
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout+wait)
+	defer cancel()
+	switch request.Operation {
+	case wire.Insert:
+		return s.insert(ctx, request)
+	case wire.Range:
+		rows, err := s.store.Range(ctx, request.Table, request.From, request.To, request.Limit)
+		return rowsResponse(request, rows, err)
+	case wire.Changes:
+		rows, err := s.store.Changes(ctx, request.Table, request.After, wait)
+		return rowsResponse(request, rows, err)
+	default:
+		return s.refuse(request)
+	}
+}
+
+func (s *Server) insert(ctx context.Context, request wire.Request) wire.Response {
+	if !slices.Contains(s.insertable, request.Table) || request.Name == "" {
+		return s.refuse(request)
+	}
+	key := store.Key{Table: request.Table, Name: request.Name}
+	outcome, err := s.store.Transact(ctx, store.Change{
+		Expect: []store.Row{{Key: key}}, Put: []store.Row{{Key: key, Value: request.Value}},
+	})
+	response := rowsResponse(request, store.Rows{Rows: outcome.Current, Version: outcome.Version, Clock: outcome.Clock}, err)
+	response.Applied = outcome.Applied
+	return response
+}
+
+// refuse returns the response to a request that is not relayed.
+func (s *Server) refuse(request wire.Request) wire.Response {
+	logev.RelayRefused.Log(s.log).Str("operation", string(request.Operation)).Str("table", request.Table).Send()
+	return wire.Response{Number: request.Number, Status: wire.Invalid, Problem: errNotAllowed.Error()}
+}
--- a/internal/edge/store/client.go
+++ b/internal/edge/store/client.go
@@ -121,7 +121,7 @@
 // call that let the store wait for a change (wait > 0) says nothing about the
 // store's speed and is not counted.
 func (c *Client) observeCall(begin time.Time, wait time.Duration, err error) {
-	if !isFinal(err) {
+	if !IsFinal(err) {
 		c.meter.Failures.Inc()
 		if begin.UnixNano() > c.answeredSentAt.Load() {
 			c.failed.Store(true)
--- a/internal/edge/store/hedge.go
+++ b/internal/edge/store/hedge.go
@@ -84,7 +84,7 @@
 			timer.Reset(h.hedgeDelay)
 		case r := <-h.results:
 			h.inFlight--
-			if isFinal(r.err) {
+			if IsFinal(r.err) {
 				return r.value, r.err
 			}
 			err = r.err
@@ -100,8 +100,8 @@
 	}
 }
 
-// isFinal reports whether the store answered and a repeat would change nothing.
-func isFinal(err error) bool {
+// IsFinal reports whether the store answered and a repeat would change nothing.
+func IsFinal(err error) bool {
 	return err == nil || errors.Is(err, ErrInvalid) || errors.Is(err, ErrHistoryGone)
 }
 
--- a/internal/ops/logev/logev.go
+++ b/internal/ops/logev/logev.go
@@ -27,6 +27,10 @@
 	ConfigCurrent   Event = 113
 	PeerConnected   Event = 120
 	PeerLost        Event = 121
+	StoreDetour     Event = 122
+	StoreDirect     Event = 123
+	RelayRefused    Event = 124
+	RegistryFailed  Event = 125
 	ShardTaken      Event = 130
 	ShardGivenUp    Event = 131
 	ShardLost       Event = 132
@@ -86,6 +90,10 @@
 	{SettingsChanged, "settings-changed", zerolog.InfoLevel, "The host received SIGHUP: its settings file has changed and takes effect at the next start."},
 	{TableLost, "table-lost", zerolog.WarnLevel, "The platform's store does not answer this host."},
 	{TableBack, "table-back", zerolog.InfoLevel, "The platform's store answers this host again."},
+	{StoreDetour, "store-detour", zerolog.WarnLevel, "The platform's store does not answer this host directly; calls go through peers as well."},
+	{StoreDirect, "store-direct", zerolog.InfoLevel, "The platform's store answers this host directly again."},
+	{RelayRefused, "relay-refused", zerolog.WarnLevel, "A peer has asked for a call to the store that cannot be read or is not relayed."},
+	{RegistryFailed, "registry-failed", zerolog.InfoLevel, "This host could not read its peers' addresses or write its own; it tries again."},
 	{ConfigStale, "standing-lost", zerolog.WarnLevel, "The configuration known here is not certain to be current; this host makes no decisions."},
 	{ConfigCurrent, "standing-back", zerolog.InfoLevel, "The configuration known here is certain to be current again."},
 	{PeerConnected, "peer-connected", zerolog.DebugLevel, "A connection to a peer is up."},
--- a/internal/ops/verbs/fleet.go
+++ b/internal/ops/verbs/fleet.go
@@ -13,7 +13,6 @@
 
 	"github.com/rattanshore/rattanshore/internal/edge/clock"
 	"github.com/rattanshore/rattanshore/internal/edge/fleet"
-	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
 	"github.com/rattanshore/rattanshore/internal/ops/metrc"
 	"github.com/rattanshore/rattanshore/internal/ops/setng"
@@ -35,8 +34,8 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	go logReloadSignals(ctx, &log)
-	storeClient := store.NewClient(platform.NewStore(settings.Store, settings.Host.ID), &metrics.Store)
-	host := fleet.New(settings, &log, metrics, steadyClock.Now, storeClient, platform.NewWorkers(steadyClock.Now), platform.NewDirectory(storeClient))
+	stores := fleet.NewStores(platform.NewStore(settings.Store, settings.Host.ID), &log, &metrics.Store)
+	host := fleet.New(settings, &log, metrics, steadyClock.Now, stores, platform.NewWorkers(steadyClock.Now), platform.NewDirectory(stores.Relayed))
 	ingress := platform.NewIngress(host.Frontend(), steadyClock.Now)
 	return host.Run(ctx, ingress, http.HandlerFunc(ingress.Ready))
 }
--- a/internal/wire/record/record.gen.go
+++ b/internal/wire/record/record.gen.go
@@ -65,6 +65,16 @@
 	Step   int     `json:"step"`
 }
 
+// Host Where an entry host answers its peers.
+type Host struct {
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	ID      string `json:"id"`
+
+	// RefreshedAtMs The store's clock when the host wrote this row.
+	RefreshedAtMs int64 `json:"refreshed-at-ms"`
+}
+
 // Job defines model for Job.
 type Job struct {
 	// FirstDueAt When the first occurrence is due; absent for a job that runs once at once.
