A call that the store refuses at once is given up at the refusal deadline

Cause: since 'A store call that was not sent is a refusal', a call whose attempts were all refused before the refusal deadline sent no further one after it, and then waited for its caller's deadline.

Change: with nothing under way, the call ends. Tests: 'is refused soon after the refusal deadline' and 'refuses what no peer can store' (under 0.6 s, was 1.9 s) failed before.

--- a/internal/edge/fleet/relay_test.go
+++ b/internal/edge/fleet/relay_test.go
@@ -129,7 +129,13 @@
 	It("refuses what no peer can store", func() {
 		path.refusing.Store(true)
 		p.Store.SetFaults(fake.StoreFaults{Refuse: true})
-		Expect(submit(cut, 3)).To(Equal(http.StatusServiceUnavailable))
+		for range 5 {
+			begin := time.Now()
+			Expect(submit(cut, 3)).To(Equal(http.StatusServiceUnavailable))
+			// The caller can come back soon only if it is refused soon.
+			Expect(time.Since(begin)).To(BeNumerically("<", 600*time.Millisecond))
+			time.Sleep(100 * time.Millisecond)
+		}
 		p.Store.SetFaults(fake.StoreFaults{})
 		id := newJob(p, 3).ID
 		Consistently(func() bool {
--- a/internal/edge/store/hedge.go
+++ b/internal/edge/store/hedge.go
@@ -70,16 +70,20 @@
 	h.send(ctx)
 	timer := time.NewTimer(h.hedgeDelay)
 	defer timer.Stop()
-	err := error(nil)
+	var err error
+	var zero T
 	for {
 		select {
 		case <-ctx.Done():
-			var zero T
 			return zero, h.failure(err, ctx.Err())
 		case <-timer.C:
-			if err == nil || !h.refused(time.Now()) {
-				h.send(ctx)
+			if err != nil && h.refused(time.Now()) {
+				if h.inFlight == 0 {
+					return zero, h.failure(err, nil)
+				}
+				continue
 			}
+			h.send(ctx)
 			h.hedgeDelay = min(time.Duration(hedgeDelayGrowth*float64(h.hedgeDelay)), maxHedgeDelay)
 			timer.Reset(h.hedgeDelay)
 		case r := <-h.results:
--- a/internal/edge/store/store_test.go
+++ b/internal/edge/store/store_test.go
@@ -216,6 +216,18 @@
 var _ = Describe("an insert", func() {
 	// Fault: connections to the store cannot be opened, and each attempt takes long
 	// to find that out, while further attempts are sent beside it.
+	// Fault: the store refuses each attempt at once. The refusal deadline passes
+	// while no attempt is under way.
+	It("is refused soon after the refusal deadline", func() {
+		client := store.NewClient(refusingStore{delay: time.Millisecond}, &metrc.NewEntry().Store)
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		DeferCleanup(cancel)
+		begin := time.Now()
+		_, err := client.Insert(ctx, store.Row{Key: named("a"), Value: []byte("1")}, 100*time.Millisecond)
+		Expect(errors.Is(err, store.ErrRefused)).To(BeTrue(), "%v", err)
+		Expect(time.Since(begin)).To(BeNumerically("<", 500*time.Millisecond))
+	})
+
 	It("is known not to have happened when every attempt was refused", func() {
 		const delay = 300 * time.Millisecond
 		client := store.NewClient(refusingStore{delay: delay}, &metrc.NewEntry().Store)
