Submissions no longer wait for each other and for the leader in the store

All rows lay in one part of the store, which carries out its changes one after the other: at 60 times 3 ms that is 5 a second for all hosts and the leader together, and the hedged attempts of each call wait there too.

Change: store keys have a part. Jobs and cancellations are spread over 16 parts by the first digit of their identifier; hosts' rows have a part of their own; leader, progress and roster stay in the unnamed part, so that a leader's transaction remains one. Jobs that an earlier version stored in the unnamed part are still read.

Test: 'store jobs beside each other when the store is slow' (12 callers, 150 ms a change) times out with all jobs in one part.

--- a/internal/edge/fleet/feeds.go
+++ b/internal/edge/fleet/feeds.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return 0, err
 	}
-	jobs, err := h.store.ReadAll(ctx, tableJobs, "")
+	jobs, err := h.store.ReadParts(ctx, tableJobs, jobParts)
 	if err != nil {
 		return 0, err
 	}
@@ -142,7 +142,7 @@
 // followJobs sends new jobs and cancellations to the planner. After an error it
 // asks without a wait, so that it notices soon that the store is back.
 func (s *session) followJobs(ctx context.Context, after int64) {
-	follower := store.NewFollower(s.host.store, tableJobs, after)
+	follower := store.NewFollower(s.host.store, tableJobs, after, jobParts...)
 	wait := feedWait
 	for ctx.Err() == nil {
 		rows, _, err := follower.Next(ctx, wait)
--- a/internal/edge/fleet/host_test.go
+++ b/internal/edge/fleet/host_test.go
@@ -170,6 +170,31 @@
 		}, time.Second).Should(BeFalse())
 	})
 
+	// Pattern: each change takes the store long, and many callers submit jobs at
+	// the same time, while the leader stores the progress of others.
+	It("store jobs beside each other when the store is slow", func() {
+		one := startHost(p, "one")
+		Eventually(func() int { return submit(one, newJob(p, 1)) }, 5*time.Second).Should(Equal(http.StatusOK))
+		const transactionTime = 150 * time.Millisecond
+		p.Store.SetFaults(fake.StoreFaults{TransactionTime: transactionTime})
+		const callers = 12
+		jobs := make([]record.Job, callers)
+		for i := range jobs {
+			jobs[i] = newJob(p, i+2)
+			jobs[i].ID = fmt.Sprintf("%x%015x", i, i)
+			p.RegisterJob(jobs[i])
+		}
+		begin := time.Now()
+		statuses := make(chan int, callers)
+		for _, job := range jobs {
+			go func() { statuses <- submit(one, job) }()
+		}
+		for range callers {
+			Eventually(statuses, 4*time.Second).Should(Receive(Equal(http.StatusOK)))
+		}
+		Expect(time.Since(begin)).To(BeNumerically("<", callers*transactionTime/2))
+	})
+
 	It("accept no key when their configuration may be out of date", func() {
 		one := startHost(p, "one")
 		Eventually(func() int { return submit(one, newJob(p, 1)) }, 5*time.Second).Should(Equal(http.StatusOK))
--- a/internal/edge/fleet/registry.go
+++ b/internal/edge/fleet/registry.go
@@ -51,7 +51,7 @@
 	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
 	h := r.host
-	rows, err := h.store.ReadAll(ctx, tableHosts, "")
+	rows, err := h.store.ReadParts(ctx, tableHosts, []string{partHosts})
 	if err != nil {
 		return err
 	}
--- a/internal/edge/fleet/rows.go
+++ b/internal/edge/fleet/rows.go
@@ -26,10 +26,38 @@
 	cancelSuffix = "/cancel"
 )
 
-func hostKey(id string) store.Key     { return store.Key{Table: tableHosts, Name: id} }
-func jobKey(id string) store.Key      { return store.Key{Table: tableJobs, Name: id} }
-func cancelKey(id string) store.Key   { return store.Key{Table: tableJobs, Name: id + cancelSuffix} }
-func progressKey(id string) store.Key { return store.Key{Table: tableProgress, Name: id} }
+// partHosts is the part of the hosts' rows.
+const partHosts = "hosts"
+
+// jobParts lists the parts over which jobs and cancellations are spread by the
+// first digit of the job's identifier. Without them every submission would wait for
+// all others, and for the leader, when the store is slow. The unnamed part holds
+// jobs of earlier versions.
+var jobParts = []string{"", "0", "1", "2", "3", "4", "5", "6", "7", "8", "9", "a", "b", "c", "d", "e", "f"}
+
+// jobPart returns the part of a job's rows.
+func jobPart(id string) string {
+	if id == "" {
+		return ""
+	}
+	return strings.ToLower(id[:1])
+}
+
+func hostKey(id string) store.Key {
+	return store.Key{Table: tableHosts, Part: partHosts, Name: id}
+}
+
+func jobKey(id string) store.Key {
+	return store.Key{Table: tableJobs, Part: jobPart(id), Name: id}
+}
+
+func cancelKey(id string) store.Key {
+	return store.Key{Table: tableJobs, Part: jobPart(id), Name: id + cancelSuffix}
+}
+
+func progressKey(id string) store.Key {
+	return store.Key{Table: tableProgress, Name: id}
+}
 
 var (
 	leaderKey  = store.Key{Table: tableLeader, Name: "planner"}
--- a/internal/edge/relay/messages.go
+++ b/internal/edge/relay/messages.go
@@ -27,7 +27,7 @@
 		Version: rows.Version, ClockMillis: rows.Clock.UnixMilli(), More: rows.More,
 	}
 	for _, row := range rows.Rows {
-		r.Rows = append(r.Rows, wire.Row{Name: row.Key.Name, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
+		r.Rows = append(r.Rows, wire.Row{Part: row.Key.Part, Name: row.Key.Name, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
 	}
 	if err != nil {
 		r.Status, r.Problem = statusOf(err), err.Error()
@@ -35,6 +35,11 @@
 	return r
 }
 
+// spanOf returns the span that a request reads.
+func spanOf(request wire.Request) store.Span {
+	return store.Span{Table: request.Table, Part: request.Part, From: request.From, To: request.To}
+}
+
 // statusOf returns the status that stands for an error.
 func statusOf(err error) wire.Status {
 	for _, s := range statuses {
@@ -70,7 +75,7 @@
 	rows := store.Rows{Version: r.Version, Clock: time.UnixMilli(r.ClockMillis).UTC(), More: r.More}
 	for _, row := range r.Rows {
 		rows.Rows = append(rows.Rows, store.Row{
-			Key: store.Key{Table: table, Name: row.Name}, Value: row.Value, Version: row.Version, Deleted: row.Deleted,
+			Key: store.Key{Table: table, Part: row.Part, Name: row.Name}, Value: row.Value, Version: row.Version, Deleted: row.Deleted,
 		})
 	}
 	return rows
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -68,9 +68,11 @@
 }
 
 // Range implements store.Store.
-func (s *Store) Range(ctx context.Context, table, from, to string, limit int) (store.Rows, error) {
-	request := wire.Request{Operation: wire.Range, Table: table, From: from, To: to, Limit: limit}
-	direct := func(ctx context.Context) (store.Rows, error) { return s.direct.Range(ctx, table, from, to, limit) }
+func (s *Store) Range(ctx context.Context, span store.Span, limit int) (store.Rows, error) {
+	request := wire.Request{
+		Operation: wire.Range, Table: span.Table, Part: span.Part, From: span.From, To: span.To, Limit: limit,
+	}
+	direct := func(ctx context.Context) (store.Rows, error) { return s.direct.Range(ctx, span, limit) }
 	return detour(ctx, s, directPatience, direct, func(ctx context.Context) (store.Rows, error) {
 		return s.relayRead(ctx, request)
 	})
@@ -101,7 +103,9 @@
 		return wire.Request{}, errNotRelayed
 	}
 	row := change.Put[0]
-	return wire.Request{Operation: wire.Insert, Table: row.Key.Table, Name: row.Key.Name, Value: row.Value}, nil
+	return wire.Request{
+		Operation: wire.Insert, Table: row.Key.Table, Part: row.Key.Part, Name: row.Key.Name, Value: row.Value,
+	}, nil
 }
 
 // answer is the result of a call on one of the two ways.
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -41,7 +41,7 @@
 	return store.Outcome{}, b.wait(ctx)
 }
 
-func (b brokenStore) Range(ctx context.Context, _, _, _ string, _ int) (store.Rows, error) {
+func (b brokenStore) Range(ctx context.Context, _ store.Span, _ int) (store.Rows, error) {
 	return store.Rows{}, b.wait(ctx)
 }
 
@@ -92,7 +92,7 @@
 		Expect(again.Applied).To(BeFalse())
 		Expect(again.Current).To(HaveLen(1))
 		Expect(again.Current[0].Value).To(Equal([]byte("one")))
-		rows, err := s.Range(ctx, "jobs", "a", "b", 1)
+		rows, err := s.Range(ctx, store.Span{Table: "jobs", From: "a", To: "b"}, 1)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(rows.Rows).To(Equal(again.Current))
 		changes, err := s.Changes(ctx, "jobs", outcome.Version-1, 100*time.Millisecond)
@@ -163,7 +163,7 @@
 		}, 2*time.Second).Should(Succeed())
 		// From then on the good peer is preferred.
 		for range 10 {
-			_, err := s.Range(ctx, "jobs", "", "", 1)
+			_, err := s.Range(ctx, store.Span{Table: "jobs"}, 1)
 			Expect(err).NotTo(HaveOccurred())
 		}
 	})
--- a/internal/edge/relay/server.go
+++ b/internal/edge/relay/server.go
@@ -97,7 +97,7 @@
 	case wire.Insert:
 		return s.insert(ctx, request)
 	case wire.Range:
-		rows, err := s.store.Range(ctx, request.Table, request.From, request.To, request.Limit)
+		rows, err := s.store.Range(ctx, spanOf(request), request.Limit)
 		return rowsResponse(request, rows, err)
 	case wire.Changes:
 		rows, err := s.store.Changes(ctx, request.Table, request.After, wait)
@@ -111,7 +111,7 @@
 	if !slices.Contains(s.insertable, request.Table) || request.Name == "" {
 		return s.refuse(request)
 	}
-	key := store.Key{Table: request.Table, Name: request.Name}
+	key := store.Key{Table: request.Table, Part: request.Part, Name: request.Name}
 	outcome, err := s.store.Transact(ctx, store.Change{
 		Expect: []store.Row{{Key: key}}, Put: []store.Row{{Key: key, Value: request.Value}},
 	})
--- a/internal/edge/store/client.go
+++ b/internal/edge/store/client.go
@@ -98,10 +98,10 @@
 }
 
 // Range implements Store.
-func (c *Client) Range(ctx context.Context, table, from, to string, limit int) (Rows, error) {
+func (c *Client) Range(ctx context.Context, span Span, limit int) (Rows, error) {
 	c.meter.Reads.Inc()
 	begin := time.Now()
-	rows, err := c.backend.Range(ctx, table, from, to, limit)
+	rows, err := c.backend.Range(ctx, span, limit)
 	c.observeClock(rows.Clock)
 	c.observeCall(begin, 0, err)
 	return rows, err
@@ -149,7 +149,7 @@
 // ctx ends.
 func (c *Client) Read(ctx context.Context, key Key) (Row, error) {
 	rows, err := c.retryRead(ctx, func(attempt context.Context) (Rows, error) {
-		return c.Range(attempt, key.Table, key.Name, key.Name+"\x00", 1)
+		return c.Range(attempt, Span{Table: key.Table, Part: key.Part, From: key.Name, To: key.Name + "\x00"}, 1)
 	})
 	if err != nil || len(rows.Rows) == 0 {
 		return Row{Key: key}, err
@@ -157,10 +157,28 @@
 	return rows.Rows[0], nil
 }
 
-// ReadAll returns the rows of a table whose names begin with the prefix. It
-// retries each page until ctx ends.
+// ReadAll returns the rows of a table's unnamed part whose names begin with the
+// prefix. It retries each page until ctx ends.
 func (c *Client) ReadAll(ctx context.Context, table, prefix string) (Rows, error) {
-	return Scan(ctx, retryingStore{c}, table, prefix, prefixEnd(prefix))
+	return Scan(ctx, retryingStore{c}, Span{Table: table, From: prefix, To: prefixEnd(prefix)})
+}
+
+// ReadParts returns all rows of some parts of a table. Version is that of the first
+// page, so that following the changes after it gives a consistent state. It retries
+// each page until ctx ends.
+func (c *Client) ReadParts(ctx context.Context, table string, parts []string) (Rows, error) {
+	var all Rows
+	for i, part := range parts {
+		rows, err := Scan(ctx, retryingStore{c}, Span{Table: table, Part: part})
+		if err != nil {
+			return Rows{}, err
+		}
+		if i == 0 {
+			all.Version, all.Clock = rows.Version, rows.Clock
+		}
+		all.Rows = append(all.Rows, rows.Rows...)
+	}
+	return all, nil
 }
 
 // retryingStore is a Client whose Range retries until ctx ends.
@@ -169,9 +187,9 @@
 }
 
 // Range implements Store.
-func (s retryingStore) Range(ctx context.Context, table, from, to string, limit int) (Rows, error) {
+func (s retryingStore) Range(ctx context.Context, span Span, limit int) (Rows, error) {
 	return s.retryRead(ctx, func(attempt context.Context) (Rows, error) {
-		return s.Client.Range(attempt, table, from, to, limit)
+		return s.Client.Range(attempt, span, limit)
 	})
 }
 
--- a/internal/edge/store/follow.go
+++ b/internal/edge/store/follow.go
@@ -11,14 +11,20 @@
 type Follower struct {
 	client *Client
 	table  string
+	// parts lists the parts that are read when the changes are not enough.
+	parts []string
 	// version is the version up to which changes have been read.
 	version int64
 }
 
 // NewFollower returns a follower of the changes after a version. With version 0 it
-// starts by reading all rows of the table.
-func NewFollower(c *Client, table string, after int64) *Follower {
-	return &Follower{client: c, table: table, version: after}
+// starts by reading all rows of the table. Without parts, the table has only the
+// unnamed one.
+func NewFollower(c *Client, table string, after int64, parts ...string) *Follower {
+	if len(parts) == 0 {
+		parts = []string{""}
+	}
+	return &Follower{client: c, table: table, parts: parts, version: after}
 }
 
 // Next returns the rows that have changed since the previous call; removed rows
@@ -33,7 +39,7 @@
 			return f.advance(changed, false, err)
 		}
 	}
-	changed, err = f.client.ReadAll(ctx, f.table, "")
+	changed, err = f.client.ReadParts(ctx, f.table, f.parts)
 	return f.advance(changed, true, err)
 }
 
--- a/internal/edge/store/hedge.go
+++ b/internal/edge/store/hedge.go
@@ -96,10 +96,11 @@
 			if h.inFlight > 0 {
 				continue
 			}
-			if h.refused(time.Now()) {
+			pause := h.nextBackoff()
+			if h.refused(time.Now().Add(pause)) {
 				return r.value, h.failure(err, nil)
 			}
-			timer.Reset(h.nextBackoff())
+			timer.Reset(pause)
 		}
 	}
 }
@@ -109,9 +110,9 @@
 	return err == nil || errors.Is(err, ErrInvalid) || errors.Is(err, ErrHistoryGone)
 }
 
-// refused reports whether the store has refused the call until the refusal
-// deadline. No attempt is sent after that, so that the attempts under way decide
-// the outcome.
+// refused reports whether the refusal deadline is over by now for a call that the
+// store has refused so far. No attempt is sent after that, so that the attempts
+// under way decide the outcome.
 func (h *hedgedCall[T]) refused(now time.Time) bool {
 	return !h.mayHaveApplied && !h.refusalDeadline.IsZero() && now.After(h.refusalDeadline)
 }
--- a/internal/edge/store/store.go
+++ b/internal/edge/store/store.go
@@ -28,12 +28,22 @@
 	ErrFenced = errors.New("fence row was written by another writer")
 )
 
-// Key identifies a row.
+// Key identifies a row. The store carries out the changes of one part, in all
+// tables, one after the other, and those of different parts at the same time.
 type Key struct {
 	Table string
+	Part  string
 	Name  string
 }
 
+// Span names the rows of one part of a table whose names are in [From, To). An
+// empty bound leaves that side open.
+type Span struct {
+	Table    string
+	Part     string
+	From, To string
+}
+
 // Row is a row as of Version. Version 0 means that the row does not exist.
 type Row struct {
 	Key     Key
@@ -53,7 +63,7 @@
 }
 
 // Change is one atomic transaction. It is committed only if every row in Expect
-// has the given version.
+// has the given version. It takes longer if its rows lie in several parts.
 type Change struct {
 	Expect []Row
 	Put    []Row
@@ -74,21 +84,20 @@
 type Store interface {
 	// Transact commits the change if its conditions hold.
 	Transact(ctx context.Context, change Change) (Outcome, error)
-	// Range reads the rows of a table whose names are in [from, to). An empty
-	// bound leaves that side open. With limit 0 the store uses its own limit.
-	Range(ctx context.Context, table, from, to string, limit int) (Rows, error)
-	// Changes returns the rows of a table that changed after a version. If there
+	// Range reads the rows of a span. With limit 0 the store uses its own limit.
+	Range(ctx context.Context, span Span, limit int) (Rows, error)
+	// Changes returns the rows of a table, in all parts, that changed after a version. If there
 	// are none yet, the store may wait up to wait for one before it answers.
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Rows, error)
 }
 
-// Scan reads a complete range, page by page. A row that changes while the pages are
+// Scan reads a complete span, page by page. A row that changes while the pages are
 // read may appear in its old or its new state. Version is that of the first page,
 // so that following the changes after Version gives a consistent state.
-func Scan(ctx context.Context, s Store, table, from, to string) (Rows, error) {
+func Scan(ctx context.Context, s Store, span Span) (Rows, error) {
 	var all Rows
 	for {
-		page, err := s.Range(ctx, table, from, to, 0)
+		page, err := s.Range(ctx, span, 0)
 		if err != nil {
 			return Rows{}, err
 		}
@@ -99,6 +108,6 @@
 		if !page.More || len(page.Rows) == 0 {
 			return all, nil
 		}
-		from = page.Rows[len(page.Rows)-1].Key.Name + "\x00"
+		span.From = page.Rows[len(page.Rows)-1].Key.Name + "\x00"
 	}
 }
--- a/internal/edge/store/store_test.go
+++ b/internal/edge/store/store_test.go
@@ -279,7 +279,7 @@
 	store.Store
 }
 
-func (*lateStore) Range(context.Context, string, string, string, int) (store.Rows, error) {
+func (*lateStore) Range(context.Context, store.Span, int) (store.Rows, error) {
 	return store.Rows{Version: 1}, nil
 }
 
--- a/internal/wire/relay/relay.gen.go
+++ b/internal/wire/relay/relay.gen.go
@@ -71,6 +71,7 @@
 	// Number Matches the response on the same connection.
 	Number    int64     `json:"number"`
 	Operation Operation `json:"operation"`
+	Part      string    `json:"part,omitempty,omitzero"`
 	Table     string    `json:"table"`
 
 	// To First name after the range.
@@ -104,6 +105,7 @@
 type Row struct {
 	Deleted bool   `json:"deleted,omitempty,omitzero"`
 	Name    string `json:"name"`
+	Part    string `json:"part,omitempty,omitzero"`
 	Value   []byte `json:"value,omitempty,omitzero"`
 	Version int64  `json:"version"`
 }
