--- a/internal/core/plan/overdue.go
+++ b/internal/core/plan/ageing.go
@@ -5,25 +5,52 @@
 	"time"
 )
 
+// ageing is how far a gang's long wait moves it forward.
+type ageing int
+
+const (
+	// young gangs are placed in the usual order.
+	young ageing = iota
+	// overdue gangs come before all others but urgent ones.
+	overdue
+	// starved gangs come before all others.
+	starved
+)
+
 const (
 	// OverdueAfter is how long a gang waits, from when it could first run, until
-	// it is overdue. The oldest overdue gangs come before all others, so that
-	// none waits for ever behind work that is worth more.
+	// it is overdue, so that it doesn't wait for ever behind work that is worth
+	// more.
 	OverdueAfter = 15 * time.Second
+	// StarvedAfter is how long it waits until it comes before urgent work too.
+	// Urgent gangs lose their value within seconds, so this is late.
+	StarvedAfter = 40 * time.Second
 	// overdueShare is the share of a target's capacity that may be in use by, or
-	// claimed for, gangs that were placed because they were overdue. The rest
-	// stays with the usual order.
+	// claimed for, gangs that were moved forward. The rest stays with the usual
+	// order.
 	overdueShare = 0.125
 )
 
-// markOverdue marks the overdue gangs that may go first: those that have waited
-// longest and fit, up to the overdue share of each target. A gang that is larger
-// than that share may go first if none is waiting before it.
-func (m *Model) markOverdue(now time.Time, ranked []rankedGang) {
+// ageAt returns how far a gang that is waiting has aged.
+func (g *gang) ageAt(now time.Time) ageing {
+	switch waited := now.Sub(g.readyAt); {
+	case waited >= StarvedAfter:
+		return starved
+	case waited >= OverdueAfter:
+		return overdue
+	default:
+		return young
+	}
+}
+
+// ageRanked moves the overdue gangs forward that have waited longest and fit, up
+// to the overdue share of each target. A gang that is larger than that share is
+// moved forward if none is waiting before it.
+func (m *Model) ageRanked(now time.Time, ranked []rankedGang) {
 	var old []*rankedGang
 	for i := range ranked {
 		r := &ranked[i]
-		if now.Sub(r.gang.readyAt) >= OverdueAfter {
+		if r.gang.ageAt(now) != young {
 			old = append(old, r)
 		}
 	}
@@ -40,8 +67,8 @@
 			fit = m.fitsWhenEmpty(now, r.gang)
 			fits[key] = fit
 		}
-		if fit {
-			r.overdue = shares[r.gang.job.queue.Target].take(r.gang.coreEquivalents())
+		if fit && shares[r.gang.job.queue.Target].take(r.gang.coreEquivalents()) {
+			r.ageing = r.gang.ageAt(now)
 		}
 	}
 }
@@ -68,7 +95,7 @@
 	waiting int
 }
 
-// take reports whether a gang of the given size may go first.
+// take reports whether a gang of the given size may be moved forward.
 func (b *overdueBudget) take(size float64) bool {
 	if b == nil || b.full {
 		return false
@@ -83,7 +110,7 @@
 }
 
 // overdueShares returns the budget of each target, less what gangs that were
-// placed because they were overdue use.
+// moved forward use.
 func (m *Model) overdueShares() map[string]*overdueBudget {
 	budgets := map[string]*overdueBudget{}
 	for target, workers := range m.view.usable {
@@ -94,7 +121,7 @@
 		budgets[target] = b
 	}
 	for g := range m.active.All() {
-		if b := budgets[g.job.queue.Target]; b != nil && g.overdue {
+		if b := budgets[g.job.queue.Target]; b != nil && g.aged {
 			b.used += g.coreEquivalents()
 		}
 	}
--- a/internal/core/plan/claim.go
+++ b/internal/core/plan/claim.go
@@ -27,30 +27,28 @@
 	// freeAt is when all of the workers are expected to be free. Work that ends
 	// before that may use them meanwhile.
 	freeAt time.Time
-	// overdue claims are kept against work of every priority, and for as long as
-	// the gang waits.
-	overdue bool
+	// ageing is that of the gang. Claims of aged gangs are kept for as long as the
+	// gang waits, and those of starved gangs against work of every priority.
+	ageing ageing
 }
 
-// claimFor claims workers for a gang that could not be placed, if it is overdue
-// or wide.
+// claimFor claims workers for a gang that could not be placed, if it has aged or
+// is wide.
 func (m *Model) claimFor(now time.Time, r rankedGang) {
 	g := r.gang
-	if len(g.claim.workers) > 0 && g.claim.overdue == r.overdue {
+	if len(g.claim.workers) > 0 {
+		g.claim.ageing = max(g.claim.ageing, r.ageing)
 		return
 	}
-	if !r.overdue && !m.mayClaim(now, r) {
-		return
+	if r.ageing != young || m.mayClaim(now, r) {
+		m.setClaim(now, g, r.ageing)
 	}
-	m.unclaim(g)
-	m.setClaim(now, g, r.overdue)
 }
 
-// mayClaim reports whether workers may be claimed for a gang that is not
-// overdue.
+// mayClaim reports whether workers may be claimed for a young gang.
 func (m *Model) mayClaim(now time.Time, r rankedGang) bool {
 	switch {
-	case len(r.gang.claim.workers) > 0, r.lateness == tooLate, now.Sub(r.gang.readyAt) < claimAfter:
+	case r.lateness == tooLate, now.Sub(r.gang.readyAt) < claimAfter:
 		return false
 	default:
 		return m.claims < max(1, len(m.racks)/racksPerClaim) && m.wide(r.gang)
@@ -59,12 +57,12 @@
 
 // setClaim claims the workers on which the gang will fit soonest, if there are
 // enough.
-func (m *Model) setClaim(now time.Time, g *gang, overdue bool) {
+func (m *Model) setClaim(now time.Time, g *gang, age ageing) {
 	workers, freeAt := m.workersToClaim(now, g)
 	if workers == nil {
 		return
 	}
-	g.claim = claim{workers: workers, freeAt: freeAt, overdue: overdue}
+	g.claim = claim{workers: workers, freeAt: freeAt, ageing: age}
 	for _, w := range workers {
 		w.claimedBy = g
 	}
@@ -89,13 +87,13 @@
 
 // closedTo reports whether the worker is claimed for another gang and may not
 // be used by g: unless g will have ended by the time the claim needs the worker,
-// or is more urgent and the claim is not overdue.
+// or is more urgent and the holder of the claim is not starved.
 func (m *Model) closedTo(now time.Time, w *worker, g *gang) bool {
 	holder := w.claimedBy
 	if holder == nil || holder == g {
 		return false
 	}
-	if !holder.claim.overdue && g.job.queue.Priority < holder.job.queue.Priority {
+	if holder.claim.ageing != starved && g.job.queue.Priority < holder.job.queue.Priority {
 		return false
 	}
 	return now.Add(m.expectedDuration(g)).After(holder.claim.freeAt)
@@ -144,12 +142,12 @@
 		if len(g.claim.workers) == 0 {
 			continue
 		}
-		overdue := g.claim.overdue
+		age := g.claim.ageing
 		switch {
 		case slices.ContainsFunc(g.claim.workers, func(w *worker) bool { return !m.usable(now, w) }):
 			m.unclaim(g)
-			m.setClaim(now, g, overdue)
-		case !overdue && now.After(g.claim.freeAt.Add(claimOverrun)):
+			m.setClaim(now, g, age)
+		case age == young && now.After(g.claim.freeAt.Add(claimOverrun)):
 			m.unclaim(g)
 		}
 	}
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -53,8 +53,9 @@
 	places []*worker
 	// claim holds the workers that are kept free for the gang.
 	claim claim
-	// overdue is set when the gang was placed because it was overdue.
-	overdue bool
+	// aged is set when the gang was moved forward for its long wait before it was
+	// placed.
+	aged bool
 	// preemptions counts how often the gang was preempted.
 	preemptions int
 	// deadline is when a reservation times out, or by when all members of an
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -53,8 +53,8 @@
 	priority int
 	// startBy is the latest start with which the gang ends on time.
 	startBy time.Time
-	// overdue gangs come first, oldest first.
-	overdue bool
+	// ageing moves a gang forward that has waited long.
+	ageing ageing
 }
 
 // rank computes the sort keys of a waiting gang.
@@ -73,15 +73,32 @@
 	return r
 }
 
-// compareRanked puts overdue gangs first, in order of age. It orders the others
-// by priority, then by lateness, then by their latest start. Gangs that are too
-// late come last whatever their priority.
+// tier is the first sort key of a waiting gang: starved gangs, then urgent ones
+// that still have value, then overdue ones, then all others.
+func (r rankedGang) tier() int {
+	switch {
+	case r.ageing == starved:
+		return 0
+	case r.priority == 0 && r.lateness != tooLate:
+		return 1
+	case r.ageing == overdue:
+		return 2
+	default:
+		return 3
+	}
+}
+
+// compareRanked orders gangs by tier. Within that it puts aged gangs in order of
+// their age, and orders the others by priority, then by lateness, then by their
+// latest start. Gangs that are too late come last whatever their priority.
 func compareRanked(a, b rankedGang) int {
-	if a.overdue && b.overdue {
+	if a.tier() != b.tier() {
+		return cmp.Compare(a.tier(), b.tier())
+	}
+	if a.ageing != young && b.ageing != young {
 		return cmp.Or(a.gang.readyAt.Compare(b.gang.readyAt), compareTasks(a.gang, b.gang))
 	}
 	return cmp.Or(
-		falseFirst(!a.overdue, !b.overdue),
 		falseFirst(a.lateness == tooLate, b.lateness == tooLate),
 		cmp.Compare(a.priority, b.priority),
 		cmp.Compare(a.lateness, b.lateness),
@@ -158,7 +175,7 @@
 	for _, g := range m.queue {
 		ranked = append(ranked, m.rankOf(now, g))
 	}
-	m.markOverdue(now, ranked)
+	m.ageRanked(now, ranked)
 	slices.SortFunc(ranked, compareRanked)
 	failed := failedKeys{noPlaces: map[placementKey]bool{}, noHeadroom: map[placementKey]bool{}}
 	for _, r := range ranked {
@@ -180,7 +197,7 @@
 func (m *Model) tryPlace(now time.Time, r rankedGang, failed failedKeys) {
 	g := r.gang
 	key := r.placementKey(now)
-	shared := len(g.claim.workers) == 0 && !r.overdue
+	shared := len(g.claim.workers) == 0 && r.ageing == young
 	mayUseHeadroom := m.mayUseHeadroom(now, r)
 	if shared && (failed.noPlaces[key] || !mayUseHeadroom && failed.noHeadroom[key]) {
 		return
@@ -188,7 +205,7 @@
 	places := m.findPlaces(now, g, nil)
 	if places != nil && (mayUseHeadroom || m.leavesHeadroom(now, r, places)) {
 		m.dequeue(g)
-		g.overdue = r.overdue
+		g.aged = r.ageing != young
 		m.place(now, g, places)
 		return
 	}
--- a/internal/core/plan/preempt.go
+++ b/internal/core/plan/preempt.go
@@ -130,14 +130,14 @@
 
 // mayPreempt reports whether g may preempt v: if v has a lower priority, or,
 // when a guarantee has to be met (forced), if v belongs to another team that
-// exceeds its own guarantee. Gangs that were placed because they were overdue
+// exceeds its own guarantee. Gangs that were moved forward for their long wait
 // are stopped only to meet a guarantee.
 func (m *Model) mayPreempt(g, v *gang, forced bool) bool {
 	if v == nil || v.phase != placed || v.job == g.job {
 		return false
 	}
 	if v.job.queue.Priority > g.job.queue.Priority {
-		return forced || !v.overdue
+		return forced || !v.aged
 	}
 	return forced && v.job.spec.Team != g.job.spec.Team && !m.withinGuarantee(v.job.spec.Team)
 }
