A stalled run is found by its worker's own clock, and sooner under urgent gangs

Cause: a run counted as stalled when a poll that was sent 1.2 s after its last progress had been answered, 2.4 s later as a rule; and any run whose percent stood for that long, so that a task of hours, whose percent takes minutes, was stopped again and again. Only the first stalled member's worker was set aside, so the next attempt could meet another one.

Ruled out: a shorter limit on this host's clock, which would take a worker's pause, a late answer or a pause of the leader for a stall.

Change: reports are timed by the worker's clock. A stall takes a second without progress and two reports without progress 250 ms apart, both more for long tasks. Polls of workers with urgent gangs, or with a run that has just shown no progress, wait less.

The specs on urgent gangs and on tasks of hours failed before; those on silent workers (0.5 to 3 s) passed before and after.

--- a/internal/core/plan/drain.go
+++ b/internal/core/plan/drain.go
@@ -34,7 +34,7 @@
 // expectedEnd returns when a run is expected to end, by its progress and pace.
 func (m *Model) expectedEnd(now time.Time, r *run) time.Time {
 	work := m.expectedAttemptDuration(r.gang)
-	left := float64(donePercent-r.percent) / donePercent
+	left := float64(donePercent-r.progress.percent) / donePercent
 	if r.pace > 0 {
 		left /= r.pace
 	}
--- a/internal/core/plan/ends.go
+++ b/internal/core/plan/ends.go
@@ -24,7 +24,7 @@
 		m.handleEnd(now, w, end)
 	}
 	for _, report := range msg.Running {
-		m.updateRun(now, w, report)
+		m.updateRun(now, w, report, msg.Clock)
 	}
 	for _, r := range w.sortedRuns() {
 		report, listed := reported[r.task]
@@ -38,8 +38,8 @@
 	}
 }
 
-// updateRun handles a run that the worker reports.
-func (m *Model) updateRun(now time.Time, w *worker, report RunReport) {
+// updateRun handles a run that the worker reports at the given time of its clock.
+func (m *Model) updateRun(now time.Time, w *worker, report RunReport, clock time.Time) {
 	r := w.runs[report.Task]
 	if r == nil {
 		m.stopUnknown(now, w, report)
@@ -51,10 +51,7 @@
 	if r.gang != nil && report.Checkpoint != "" && r.phase != terminating {
 		r.gang.checkpoint = report.Checkpoint
 	}
-	if report.Percent != r.percent {
-		r.percent = report.Percent
-		r.percentAt = now
-	}
+	r.progress.report(report.Percent, clock)
 	m.measurePace(now, r)
 	m.confirmRun(now, r)
 }
--- a/internal/core/plan/learn.go
+++ b/internal/core/plan/learn.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"strconv"
 	"time"
 )
 
@@ -117,31 +116,3 @@
 	estimate := time.Duration(j.spec.Steps[step].EstimateMillis) * time.Millisecond
 	return time.Duration(m.estimator.forQueue(j.spec.Queue).expectedSeconds(estimate) * float64(time.Second))
 }
-
-// stallTimeout is how long a running task may report the same percent. Tasks
-// that make progress move on by a percent in far less.
-const stallTimeout = 1200 * time.Millisecond
-
-// checkProgress aborts an attempt that makes no progress, or that is better run
-// on other workers.
-func (m *Model) checkProgress(now time.Time, g *gang) {
-	if !g.allRunning() || g.spec().Perpetual {
-		return
-	}
-	if m.leaveDraining(now, g) || m.leaveSlow(now, g) {
-		return
-	}
-	timeout := stallTimeout
-	if g.resumed {
-		timeout += m.timing.Restore
-	}
-	for _, r := range g.runs {
-		// A member that has done its part waits for the others.
-		if r.percent < donePercent && r.worker.polledAt.After(r.percentAt.Add(timeout)) {
-			m.countWorkerFailure(now, r.worker, g.job.spec.ID)
-			r.worker.quarantinedUntil = later(r.worker.quarantinedUntil, now.Add(m.timing.Quarantine))
-			m.abortAttempt(now, g, "no progress at "+r.worker.ID+", "+strconv.Itoa(r.percent)+"% for "+now.Sub(r.percentAt).String())
-			return
-		}
-	}
-}
--- a/internal/core/plan/pace.go
+++ b/internal/core/plan/pace.go
@@ -30,11 +30,11 @@
 	if g == nil || r.phase != running || g.allRunningAt.IsZero() {
 		return
 	}
-	if r.percent >= donePercent {
+	if r.progress.percent >= donePercent {
 		return
 	}
 	if span := now.Sub(g.allRunningAt); span >= minPaceSpan {
-		r.rate = float64(r.percent) / span.Seconds()
+		r.rate = float64(r.progress.percent) / span.Seconds()
 	}
 	if pace, known := r.paceAgainstPeers(); known {
 		r.pace = pace
@@ -49,7 +49,7 @@
 // paceAgainstPeers returns the run's pace relative to the other members of its
 // gang.
 func (r *run) paceAgainstPeers() (float64, bool) {
-	if len(r.gang.runs) < minPaceGang || r.rate == 0 && r.percent > 0 {
+	if len(r.gang.runs) < minPaceGang || r.rate == 0 && r.progress.percent > 0 {
 		return 0, false
 	}
 	rates := make([]float64, 0, len(r.gang.runs))
@@ -69,15 +69,15 @@
 // duration.
 func (m *Model) measureAgainstEstimate(now time.Time, r *run) {
 	if r.paceFrom.IsZero() {
-		r.paceFrom, r.pacePercent = now, r.percent
+		r.paceFrom, r.pacePercent = now, r.progress.percent
 		return
 	}
 	span := now.Sub(r.paceFrom)
 	if span < minPaceSpan {
 		return
 	}
-	moved := r.percent - r.pacePercent
-	r.paceFrom, r.pacePercent, r.pace = now, r.percent, 0
+	moved := r.progress.percent - r.pacePercent
+	r.paceFrom, r.pacePercent, r.pace = now, r.progress.percent, 0
 	if !m.estimator.forQueue(r.gang.job.spec.Queue).trusted() {
 		return
 	}
@@ -117,7 +117,7 @@
 			continue
 		}
 		work := float64(m.expectedDuration(g))
-		left := float64(donePercent-r.percent) / donePercent
+		left := float64(donePercent-r.progress.percent) / donePercent
 		stayTime := time.Duration(left * float64(m.expectedAttemptDuration(g)) / r.pace)
 		redo := work
 		if g.spec().SavesProgress {
--- a/internal/core/plan/poll.go
+++ b/internal/core/plan/poll.go
@@ -40,7 +40,7 @@
 		// runs are certain to be over at some time.
 		cmd.LeaseUntil = m.leaseFor(now, w)
 		w.leaseUntil = later(w.leaseUntil, cmd.LeaseUntil)
-		cmd.Wait = m.timing.PollWait
+		cmd.Wait = m.pollWait(w)
 	}
 	if w.seenEnd > w.storedEnd {
 		cmd.Wait = 0
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -46,8 +46,7 @@
 	// stopAnsweredAt is when the worker answered a stop.
 	stopAnsweredAt time.Time
 
-	percent   int
-	percentAt time.Time
+	progress progress
 	// rate is the progress in percent per second since all members were
 	// running. pace is the newest ratio of the progress to that of the peers,
 	// or to what is expected. For the latter, paceFrom and pacePercent are the
@@ -261,13 +260,16 @@
 	}
 	r.phase = running
 	r.confirmedAt = now
-	r.percentAt = now
+	r.progress.restart()
 	m.schedulePoll(now, r.worker)
 	g := r.gang
 	if !g.allRunning() || !g.allRunningAt.IsZero() {
 		return
 	}
 	g.allRunningAt = now
+	for _, member := range g.runs {
+		member.progress.restart()
+	}
 	m.reportDecision(kind, g, r.worker, "")
 	if kind == GangRunning && !g.job.everRan {
 		g.job.everRan = true
--- /dev/null
+++ b/internal/core/plan/stall.go
@@ -0,0 +1,104 @@
+package plan
+
+import (
+	"strconv"
+	"time"
+)
+
+const (
+	// stallTimeout is the least time for which a stalled run has reported the same
+	// percent.
+	stallTimeout = time.Second
+	// stallConfirm is the least time, within that, between two reports without
+	// progress. The first of them may come from a worker that was paused itself.
+	stallConfirm = 250 * time.Millisecond
+	// stallShare is the share of a task's expected duration to which both times
+	// are extended, since long tasks take long for each percent.
+	stallShare = 0.04
+	// suspectPollWait is how long a worker may delay the answer to a poll while one
+	// of its runs reports no progress.
+	suspectPollWait = 300 * time.Millisecond
+	// urgentPollWait is the same while urgent gangs run on it.
+	urgentPollWait = 500 * time.Millisecond
+)
+
+// progress is what the reports on a run say about its progress. Times are of the
+// worker's clock, so that late answers and a paused leader do not count.
+type progress struct {
+	percent int
+	// since is when the percent was first reported, unchangedAt when it was first
+	// reported again, and reportedAt when it was last reported.
+	since, unchangedAt, reportedAt time.Time
+}
+
+// report adds a report on the run.
+func (p *progress) report(percent int, clock time.Time) {
+	switch {
+	case percent != p.percent || p.since.IsZero():
+		*p = progress{percent: percent, since: clock}
+	case p.unchangedAt.IsZero():
+		p.unchangedAt = clock
+	}
+	p.reportedAt = clock
+}
+
+// restart forgets the reports before the run, or its gang, was complete.
+func (p *progress) restart() {
+	*p = progress{percent: p.percent}
+}
+
+// suspect reports whether the last report showed no progress. A run that has done
+// its part waits for the others of its gang.
+func (p *progress) suspect() bool {
+	return p.percent < donePercent && !p.unchangedAt.IsZero()
+}
+
+// stalled reports whether the run has made no progress for the timeout, and in
+// the last part of it, of length confirm, while its worker was certainly at work.
+func (p *progress) stalled(timeout, confirm time.Duration) bool {
+	return p.suspect() && p.reportedAt.Sub(p.since) >= timeout && p.reportedAt.Sub(p.unchangedAt) >= confirm
+}
+
+// checkProgress aborts an attempt that makes no progress, or that is better run
+// on other workers.
+func (m *Model) checkProgress(now time.Time, g *gang) {
+	if !g.allRunning() || g.spec().Perpetual {
+		return
+	}
+	if m.leaveDraining(now, g) || m.leaveSlow(now, g) {
+		return
+	}
+	byDuration := time.Duration(stallShare * float64(m.expectedAttemptDuration(g)))
+	timeout, confirm := max(stallTimeout, byDuration), max(stallConfirm, byDuration)
+	if g.resumed {
+		timeout += m.timing.Restore
+	}
+	reason := ""
+	for _, r := range g.runs {
+		if !r.progress.stalled(timeout, confirm) {
+			continue
+		}
+		m.countWorkerFailure(now, r.worker, g.job.spec.ID)
+		r.worker.quarantinedUntil = later(r.worker.quarantinedUntil, now.Add(m.timing.Quarantine))
+		shown := r.progress.reportedAt.Sub(r.progress.since)
+		reason = "no progress at " + r.worker.ID + ", " + strconv.Itoa(r.progress.percent) + "% for " + shown.String()
+	}
+	if reason != "" {
+		m.abortAttempt(now, g, reason)
+	}
+}
+
+// pollWait returns how long the worker may delay the answer to a poll.
+func (m *Model) pollWait(w *worker) time.Duration {
+	wait := m.timing.PollWait
+	for _, r := range w.runs {
+		switch {
+		case r.gang == nil || r.phase != running:
+		case r.progress.suspect():
+			wait = min(wait, suspectPollWait)
+		case r.gang.job.queue.Priority == 0:
+			wait = min(wait, urgentPollWait)
+		}
+	}
+	return wait
+}
