A store that is only slow is not asked twice

Cause: a call was sent through a peer when the store had not answered for 0.4 s. At 60 times its usual times a change takes 0.42 s, so every insertion was made twice, which makes a slow store slower.

Change: the patience is at least three times the moving average of the store's latency. Test: 'is not asked any more for calls to a store that is only slow', which fails with a fixed patience.

--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -17,9 +17,14 @@
 )
 
 const (
-	// directPatience is how long a call waits for the store's own answer before it
-	// is also sent through a peer.
+	// directPatience is the least time that a call waits for the store's own answer
+	// before it is also sent through a peer.
 	directPatience = 400 * time.Millisecond
+	// patienceFactor extends that time to a multiple of the store's usual latency,
+	// since a store that is slow gets no faster by more calls.
+	patienceFactor = 3
+	// latencyWeight is the weight of the newest answer in the usual latency.
+	latencyWeight = 0.3
 	// probeInterval is the least time between two calls that try the store
 	// directly while calls go through peers.
 	probeInterval = 300 * time.Millisecond
@@ -43,6 +48,8 @@
 	// detourSince is when that was noticed.
 	detouring   bool
 	detourSince time.Time
+	// latency is the moving average of the time until the store answers directly.
+	latency time.Duration
 	// nextProbe is when a call tries the store directly again.
 	nextProbe time.Time
 }
@@ -59,8 +66,8 @@
 	if err != nil {
 		return s.direct.Transact(ctx, change)
 	}
-	return detour(ctx, s, directPatience,
-		func(ctx context.Context) (store.Outcome, error) { return s.direct.Transact(ctx, change) },
+	return detour(ctx, s, s.patience(),
+		func(ctx context.Context) (store.Outcome, error) { return timed(ctx, s, s.direct.Transact, change) },
 		func(ctx context.Context) (store.Outcome, error) {
 			response, err := s.links.call(ctx, request)
 			return response.outcome(request), err
@@ -72,8 +79,11 @@
 	request := wire.Request{
 		Operation: wire.Range, Table: span.Table, Part: span.Part, From: span.From, To: span.To, Limit: limit,
 	}
-	direct := func(ctx context.Context) (store.Rows, error) { return s.direct.Range(ctx, span, limit) }
-	return detour(ctx, s, directPatience, direct, func(ctx context.Context) (store.Rows, error) {
+	read := func(ctx context.Context, span store.Span) (store.Rows, error) {
+		return s.direct.Range(ctx, span, limit)
+	}
+	direct := func(ctx context.Context) (store.Rows, error) { return timed(ctx, s, read, span) }
+	return detour(ctx, s, s.patience(), direct, func(ctx context.Context) (store.Rows, error) {
 		return s.relayRead(ctx, request)
 	})
 }
@@ -84,7 +94,7 @@
 	request := wire.Request{Operation: wire.Changes, Table: table, After: after}
 	waitUntil := time.Now().Add(wait)
 	direct := func(ctx context.Context) (store.Rows, error) { return s.direct.Changes(ctx, table, after, wait) }
-	return detour(ctx, s, wait+directPatience, direct, func(ctx context.Context) (store.Rows, error) {
+	return detour(ctx, s, wait+s.patience(), direct, func(ctx context.Context) (store.Rows, error) {
 		request.WaitMillis = max(0, time.Until(waitUntil).Milliseconds())
 		return s.relayRead(ctx, request)
 	})
@@ -95,6 +105,26 @@
 	return response.toRows(request.Table), err
 }
 
+// patience returns how long a call waits for the store's own answer.
+func (s *Store) patience() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(directPatience, patienceFactor*s.latency)
+}
+
+// timed makes a direct call and adds the time until its answer to the latency.
+func timed[Q, T any](ctx context.Context, s *Store, call func(context.Context, Q) (T, error), question Q) (T, error) {
+	begin := time.Now()
+	value, err := call(ctx, question)
+	if store.IsFinal(err) {
+		took := time.Since(begin)
+		s.mu.Lock()
+		s.latency += time.Duration(latencyWeight * float64(took-s.latency))
+		s.mu.Unlock()
+	}
+	return value, err
+}
+
 // insertion returns the request for a change that inserts one row, and
 // errNotRelayed for any other change.
 func insertion(change store.Change) (wire.Request, error) {
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -109,6 +109,22 @@
 		Expect(time.Since(begin)).To(BeNumerically("<", time.Second))
 	})
 
+	// Pattern: the store answers every call, but later than a call waits at first.
+	It("is not asked any more for calls to a store that is only slow", func() {
+		p.Store.SetFaults(fake.StoreFaults{Delay: 450 * time.Millisecond})
+		slow := relay.NewStore(platform.NewStore(p.Address(), "self"), links, &log)
+		for i := range 4 {
+			_, err := slow.Transact(context.Background(), insertion("jobs", strings.Repeat("x", i+1), "one"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		time.Sleep(time.Second)
+		before := p.Store.Stats().Writes
+		_, err := slow.Transact(context.Background(), insertion("jobs", "last", "one"))
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Second)
+		Expect(p.Store.Stats().Writes - before).To(Equal(1))
+	})
+
 	It("is used no more once the store answers directly again", func() {
 		direct := platform.NewStore(p.Address(), "self")
 		s := relay.NewStore(direct, links, &log)
