--- a/internal/edge/entry/decode_test.go
+++ b/internal/edge/entry/decode_test.go
@@ -19,6 +19,7 @@
 		{"not JSON", "{", schema.BadRequest},
 		{"unknown field", `{"id":"a","colour":"red"}`, schema.UnknownField},
 		{"data after the value", `{"id":"a"} {"id":"b"}`, schema.BadRequest},
+		{"a stray brace after the value", `{"id":"a"}}`, schema.BadRequest},
 		{"too large", `{"id":"` + strings.Repeat("a", limit) + `"}`, schema.BodyTooLarge},
 		{"wrong type", `{"tasks":"many"}`, schema.BadRequest},
 	}
--- a/internal/edge/entry/host.go
+++ b/internal/edge/entry/host.go
@@ -19,6 +19,7 @@
 
 	"github.com/rattanshore/rattanshore/internal/core/route"
 	"github.com/rattanshore/rattanshore/internal/edge/hosts"
+	"github.com/rattanshore/rattanshore/internal/edge/httpc"
 	"github.com/rattanshore/rattanshore/internal/edge/peers"
 	"github.com/rattanshore/rattanshore/internal/edge/runner"
 	"github.com/rattanshore/rattanshore/internal/edge/store"
@@ -36,6 +37,9 @@
 // headerTimeout limits the time to read the header of a call.
 const headerTimeout = 5 * time.Second
 
+// bodyTimeout limits the time to read the body after that.
+const bodyTimeout = 10 * time.Second
+
 type router = runner.Runner[*route.Model[route.LeastOfTwo], route.Msg, route.Cmd]
 
 // Host is one entry host.
@@ -219,7 +223,7 @@
 }
 
 func (h *Host) serve(l *listener, handler http.Handler) {
-	l.server = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ConnState: l.conns.track}
+	l.server = &http.Server{Handler: httpc.LimitBodyTime(handler, bodyTimeout), ReadHeaderTimeout: headerTimeout, ConnState: l.conns.track}
 	h.spawn(func() {
 		err := l.server.Serve(l.Listener)
 		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
--- a/internal/edge/entry/reply.go
+++ b/internal/edge/entry/reply.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
 
 	"github.com/rattanshore/rattanshore/internal/edge/peers"
@@ -98,7 +99,7 @@
 		}
 		return value, invalid(schema.BadRequest, "the body is not valid: %v", err)
 	}
-	if decoder.More() {
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return value, invalid(schema.BadRequest, "the body has data after the JSON value")
 	}
 	return value, nil
--- a/internal/edge/fleet/host.go
+++ b/internal/edge/fleet/host.go
@@ -17,6 +17,7 @@
 
 	"github.com/rattanshore/rattanshore/internal/core/gate"
 	"github.com/rattanshore/rattanshore/internal/core/rules"
+	"github.com/rattanshore/rattanshore/internal/edge/httpc"
 	"github.com/rattanshore/rattanshore/internal/edge/relay"
 	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
@@ -31,8 +32,9 @@
 	operatorFeedWait = 1200 * time.Millisecond
 	// retryPause is the pause before a failed call to the store is repeated.
 	retryPause = 100 * time.Millisecond
-	// headerTimeout and idleTimeout limit the connections of all listeners.
+	// headerTimeout, bodyTimeout and idleTimeout limit the connections of all listeners.
 	headerTimeout = 5 * time.Second
+	bodyTimeout   = 10 * time.Second
 	idleTimeout   = 60 * time.Second
 	// metricsPath is the path of the metrics on the peers' listener.
 	metricsPath = "/metrics"
@@ -157,7 +159,7 @@
 }
 
 func (h *Host) server(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{Handler: httpc.LimitBodyTime(handler, bodyTimeout), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
 // stop reports the host as not ready, gives the leadership up, and returns when
--- a/internal/ops/verbs/verbs.go
+++ b/internal/ops/verbs/verbs.go
@@ -4,6 +4,7 @@
 package verbs
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -74,6 +75,15 @@
 	output    string
 }
 
+// operatorKeyVariable is the environment variable with the operators' key. Its value
+// is read where it is used and is no default of a flag, since help shows those.
+const operatorKeyVariable = "RATTANSHORE_OPERATOR_KEY"
+
+// operatorKey returns the key that was given, or that of the environment.
+func (a *app) operatorKey() string {
+	return cmp.Or(a.key, os.Getenv(operatorKeyVariable))
+}
+
 // New returns the root command, which prints to out.
 func New(out io.Writer) *cobra.Command {
 	a := &app{out: out}
@@ -89,7 +99,7 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&a.callers, "callers", "127.0.0.1:7400", "address of an entry host for callers")
 	flags.StringVar(&a.operators, "operators", "127.0.0.1:7401", "address of an entry host for operators")
-	flags.StringVar(&a.key, "key", os.Getenv("RATTANSHORE_OPERATOR_KEY"), "operators' key; the default is RATTANSHORE_OPERATOR_KEY")
+	flags.StringVar(&a.key, "key", "", "operators' key; the default is the value of "+operatorKeyVariable)
 	flags.StringVar(&a.output, "output", "table", "table or json")
 	root.AddCommand(
 		a.serveCommand(), a.submitCommand(), a.cancelCommand(), a.jobCommand(), a.callCommand(),
@@ -152,7 +162,7 @@
 	}
 	return schema.NewClientWithResponses("http://"+parsed.String(), schema.WithRequestEditorFn(
 		func(_ context.Context, r *http.Request) error {
-			r.Header.Set(peers.KeyHeader, a.key)
+			r.Header.Set(peers.KeyHeader, a.operatorKey())
 			return nil
 		}))
 }
