A new leader renews its row while it loads, and reads all tables at once

Ruled out: a longer timeout for the row, which would delay each real takeover.

Change: until all rows are read, a leader sends renewals only. The tables and the parts of jobs are read at the same time; changes are followed from the oldest of their versions.

Tests: 'renews its row, and stores nothing else, until it has read all rows' and 'take over and plan within a few reads of a slow store' failed before.

--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -257,6 +257,38 @@
 	)
 })
 
+var _ = Describe("a new leader", func() {
+	// The rows of earlier leaders may take seconds to read from a slow store.
+	It("renews its row, and stores nothing else, until it has read all rows", func() {
+		now := origin
+		m := plan.New(now, 2, plan.DefaultTiming())
+		var writes []plan.WriteCmd
+		send := func(msg plan.Msg) {
+			var cmds []plan.Cmd
+			m, cmds = m.Update(now, msg)
+			for _, cmd := range cmds {
+				if write, ok := cmd.(plan.WriteCmd); ok {
+					writes = append(writes, write)
+				}
+			}
+		}
+		entry := plan.Worker{ID: "worker-0", StartedAt: origin, Target: "hall"}
+		send(plan.WorkersMsg{Changed: []plan.Worker{entry}, Complete: true})
+		send(plan.JobMsg{Job: job(1, "long", step(1, 1))})
+		for now.Sub(origin) < 3*time.Second {
+			now = now.Add(50 * time.Millisecond)
+			if n := len(writes); n > 0 {
+				send(plan.WrittenMsg{Batch: writes[n-1].Batch})
+			}
+			send(plan.TickMsg{})
+		}
+		Expect(len(writes)).To(BeNumerically(">=", int(3*time.Second/plan.DefaultTiming().RenewInterval)-1))
+		for _, write := range writes {
+			Expect(write).To(Equal(plan.WriteCmd{Batch: write.Batch}))
+		}
+	})
+})
+
 var _ = Describe("an end", func() {
 	// An answer may report the end of an attempt that has been given up
 	// meanwhile.
--- a/internal/core/plan/write.go
+++ b/internal/core/plan/write.go
@@ -100,10 +100,16 @@
 	m.write.ended[id] = endedAt
 }
 
-// flush sends what has to be stored in one transaction.
+// flush sends what has to be stored in one transaction. While the rows of earlier
+// leaders are being read, that is only the renewal of the leader's row, without which
+// another host would take over during a long read.
 func (m *Model) flush(now time.Time) {
 	s := &m.write
-	if s.pending || !m.loaded {
+	if s.pending {
+		return
+	}
+	if !m.loaded {
+		m.renew(now)
 		return
 	}
 	m.markRosterDirty()
@@ -128,6 +134,18 @@
 	m.emit(cmd)
 }
 
+// renew sends a transaction that only renews the leader's row, if that is due.
+func (m *Model) renew(now time.Time) {
+	s := &m.write
+	if now.Before(s.nextRenewal) {
+		return
+	}
+	s.pending = true
+	s.batch++
+	s.nextRenewal = now.Add(m.timing.RenewInterval)
+	m.emit(WriteCmd{Batch: s.batch})
+}
+
 // takeDirty returns rows of jobs that ended, then of those that changed.
 func (m *Model) takeDirty() []record.Progress {
 	s := &m.write
--- a/internal/edge/fleet/feeds.go
+++ b/internal/edge/fleet/feeds.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/rattanshore/rattanshore/internal/core/plan"
 	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
@@ -63,20 +65,32 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	h := s.host
-	progress, err := s.readProgress(ctx)
-	if err != nil {
-		return 0, err
-	}
-	jobs, err := h.store.ReadParts(ctx, tableJobs, jobParts)
-	if err != nil {
-		return 0, err
-	}
-	roster, err := h.store.ReadAll(ctx, tableLeader, rosterPrefix)
-	if err != nil {
-		return 0, err
-	}
-	workers, version, err := h.directory.Workers(ctx, 0, feedWait)
-	if err != nil {
+	var (
+		progress     map[string]record.Progress
+		jobs, roster store.Rows
+		workers      plan.WorkersMsg
+		version      int64
+	)
+	// Only a leader writes progress and the roster, and earlier ones are fenced, so
+	// the tables may be read in any order.
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() (err error) {
+		progress, err = s.readProgress(ctx)
+		return err
+	})
+	group.Go(func() (err error) {
+		jobs, err = h.store.ReadParts(ctx, tableJobs, jobParts)
+		return err
+	})
+	group.Go(func() (err error) {
+		roster, err = h.store.ReadAll(ctx, tableLeader, rosterPrefix)
+		return err
+	})
+	group.Go(func() (err error) {
+		workers, version, err = h.directory.Workers(ctx, 0, feedWait)
+		return err
+	})
+	if err := group.Wait(); err != nil {
 		return 0, err
 	}
 	s.runner.Send(workers)
--- a/internal/edge/fleet/host_test.go
+++ b/internal/edge/fleet/host_test.go
@@ -170,6 +170,28 @@
 		}, time.Second).Should(BeFalse())
 	})
 
+	// Pattern: the leader is killed while the store is slow, so that each read of the
+	// successor takes long.
+	It("take over and plan within a few reads of a slow store", func() {
+		const delay = 150 * time.Millisecond
+		stale, err := cbor.Marshal(record.Leader{Host: "host-9", Incarnation: "gone", Epoch: 7, RenewedAtMs: -60000})
+		Expect(err).NotTo(HaveOccurred())
+		p.Store.Put("lead", "planner", stale)
+		p.Store.SetFaults(fake.StoreFaults{Delay: delay})
+		begin := time.Now()
+		one := startHost(p, "one")
+		job := newJob(p, 1)
+		Eventually(func() int { return submit(one, job) }, 5*time.Second, 20*time.Millisecond).Should(Equal(http.StatusOK))
+		Eventually(func() bool {
+			started := false
+			p.WithLock(func() { _, started = p.Pool.FirstStart(job.ID) })
+			return started
+		}, 5*time.Second, 10*time.Millisecond).Should(BeTrue())
+		// The leader's row, the takeover, the load, the roster and the placement,
+		// each one call after the other, and half as much again.
+		Expect(time.Since(begin)).To(BeNumerically("<", 9*delay))
+	})
+
 	// Pattern: each change takes the store long, and many callers submit jobs at
 	// the same time, while the leader stores the progress of others.
 	It("store jobs beside each other when the store is slow", func() {
--- a/internal/edge/store/client.go
+++ b/internal/edge/store/client.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/rattanshore/rattanshore/internal/ops/metrc"
 )
 
@@ -163,19 +165,25 @@
 	return Scan(ctx, retryingStore{c}, Span{Table: table, From: prefix, To: prefixEnd(prefix)})
 }
 
-// ReadParts returns all rows of some parts of a table. Version is that of the first
-// page, so that following the changes after it gives a consistent state. It retries
-// each page until ctx ends.
+// ReadParts returns all rows of some parts of a table, which it reads at the same
+// time. Version is the oldest of any part, so that following the changes after it gives a
+// consistent state. It retries each page until ctx ends.
 func (c *Client) ReadParts(ctx context.Context, table string, parts []string) (Rows, error) {
-	var all Rows
+	results := make([]Rows, len(parts))
+	group, ctx := errgroup.WithContext(ctx)
 	for i, part := range parts {
-		rows, err := Scan(ctx, retryingStore{c}, Span{Table: table, Part: part})
-		if err != nil {
-			return Rows{}, err
-		}
-		if i == 0 {
-			all.Version, all.Clock = rows.Version, rows.Clock
-		}
+		group.Go(func() error {
+			rows, err := Scan(ctx, retryingStore{c}, Span{Table: table, Part: part})
+			results[i] = rows
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return Rows{}, err
+	}
+	all := Rows{Version: results[0].Version, Clock: results[0].Clock}
+	for _, rows := range results {
+		all.Version = min(all.Version, rows.Version)
 		all.Rows = append(all.Rows, rows.Rows...)
 	}
 	return all, nil
