Ranking of waiting gangs has a file of its own

The sort keys, the placement key and the order move to rank.go, and the relay's handler to its server. Nothing but the place of the code changes, and one field's name.

--- a/internal/core/plan/ageing.go
+++ b/internal/core/plan/ageing.go
@@ -91,8 +91,9 @@
 	limit, used float64
 	// full is set once an older gang waits for its part. Younger ones must not
 	// overtake it.
-	full    bool
-	waiting int
+	full bool
+	// moved counts the gangs that were moved forward in this pass.
+	moved int
 }
 
 // take reports whether a gang of the given size may be moved forward.
@@ -100,12 +101,12 @@
 	if b == nil || b.full {
 		return false
 	}
-	if b.used+size > b.limit && (size <= b.limit || b.waiting > 0) {
+	if b.used+size > b.limit && (size <= b.limit || b.moved > 0) {
 		b.full = true
 		return false
 	}
 	b.used += size
-	b.waiting++
+	b.moved++
 	return true
 }
 
--- /dev/null
+++ b/internal/core/plan/rank.go
@@ -0,0 +1,149 @@
+package plan
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/rattanshore/rattanshore/internal/wire/record"
+)
+
+// recordDemand computes the size of a new job and adds it to the statistics of
+// its queue and to the rate of urgent arrivals.
+func (m *Model) recordDemand(now time.Time, j *job) {
+	for _, s := range j.spec.Steps {
+		j.coreSeconds += float64(s.Tasks) * coreEquivalents(s.Need) * float64(s.EstimateMillis) / 1000
+	}
+	m.estimator.observeJob(j)
+	if j.queue.Priority == 0 && j.attempt == 0 {
+		for _, s := range j.spec.Steps {
+			m.urgent.add(now, s.Tasks*s.Need.Accelerators)
+		}
+	}
+}
+
+// lateness is how much of its value a gang's job can still have.
+type lateness int
+
+const (
+	// onTime gangs are expected to end in time for the full value.
+	onTime lateness = iota
+	// late gangs are expected to end in time for a part of the value.
+	late
+	// tooLate gangs are expected to end after their job has lost its value.
+	tooLate
+)
+
+// rankedGang is a waiting gang with its sort keys.
+type rankedGang struct {
+	gang     *gang
+	lateness lateness
+	priority int
+	// startBy is the latest start with which the gang ends on time.
+	startBy time.Time
+	// ageing moves a gang forward that has waited long.
+	ageing ageing
+}
+
+// rank computes the sort keys of a waiting gang.
+func (m *Model) rank(now time.Time, g *gang) rankedGang {
+	work := m.expectedDuration(g)
+	full, partial := m.deadlines(g.job)
+	r := rankedGang{gang: g, priority: g.job.queue.Priority, startBy: full.Add(-work)}
+	switch end := now.Add(work); {
+	case !end.After(full):
+		r.lateness = onTime
+	case !end.After(partial):
+		r.lateness = late
+	default:
+		r.lateness = tooLate
+	}
+	return r
+}
+
+// tier is the first sort key of a waiting gang: starved gangs, then urgent ones
+// that still have value, then overdue ones, then all others.
+func (r rankedGang) tier() int {
+	switch {
+	case r.ageing == starved:
+		return 0
+	case r.priority == 0 && r.lateness != tooLate:
+		return 1
+	case r.ageing == overdue:
+		return 2
+	default:
+		return 3
+	}
+}
+
+// compareRanked orders gangs by tier. Within that it puts aged gangs in order of
+// their age, and orders the others by priority, then by lateness, then by their
+// latest start. Gangs that are too late come last whatever their priority.
+func compareRanked(a, b rankedGang) int {
+	if a.tier() != b.tier() {
+		return cmp.Compare(a.tier(), b.tier())
+	}
+	if a.ageing != young && b.ageing != young {
+		return cmp.Or(a.gang.readyAt.Compare(b.gang.readyAt), compareTasks(a.gang, b.gang))
+	}
+	return cmp.Or(
+		falseFirst(a.lateness == tooLate, b.lateness == tooLate),
+		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.lateness, b.lateness),
+		a.startBy.Compare(b.startBy),
+		compareTasks(a.gang, b.gang),
+	)
+}
+
+// compareTasks orders gangs by job, step and first task.
+func compareTasks(a, b *gang) int {
+	return cmp.Or(
+		cmp.Compare(a.job.spec.ID, b.job.spec.ID),
+		cmp.Compare(a.step, b.step),
+		cmp.Compare(a.first, b.first),
+	)
+}
+
+// falseFirst orders false before true.
+func falseFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// placementKey holds everything that decides whether a gang can be placed in
+// the current pass, apart from the workers on which the gang has failed before.
+type placementKey struct {
+	target   string
+	need     record.Amount
+	size     int
+	sameRack bool
+	near     string
+	label    string
+	priority int
+	// waitedForRack is set for a gang that may give up its locality.
+	waitedForRack bool
+	// spreadJob is the job of a step with a limit for each worker. For such a
+	// step, capacity depends on where the job's tasks already are.
+	spreadJob string
+}
+
+func (r rankedGang) placementKey(now time.Time) placementKey {
+	g := r.gang
+	s := g.spec()
+	key := placementKey{
+		target: g.job.queue.Target, need: s.Need, size: g.size, sameRack: s.SameRack && g.size > 1,
+		near: s.NearRack, label: s.Label, priority: r.priority,
+	}
+	if key.near != "" || key.sameRack {
+		key.waitedForRack = g.waitedForRack(now)
+	}
+	if s.SpreadLimit > 0 {
+		key.spreadJob = g.job.spec.ID
+	}
+	return key
+}
--- a/internal/edge/relay/links.go
+++ b/internal/edge/relay/links.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -257,10 +256,3 @@
 		}
 	})
 }
-
-// Handler returns the handler that accepts links, for the given server.
-func Handler(s *Server) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+Path, s.accept)
-	return mux
-}
--- a/internal/edge/relay/server.go
+++ b/internal/edge/relay/server.go
@@ -42,6 +42,13 @@
 	return &Server{store: direct, insertable: insertable, log: log}
 }
 
+// Handler returns the handler that accepts links, for the given server.
+func Handler(s *Server) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+Path, s.accept)
+	return mux
+}
+
 // accept serves one link until it breaks. A message that cannot be decoded ends it.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) {
 	conn, err := websocket.Accept(w, r, nil)
