A call that one way refused and the other left open is not refused

Cause: when the store had not answered a call directly and a peer then refused it, the error was marked as both, unanswered and refused, and the client of the store looked for refused first. A caller could be told that a job was not stored although it might have been.

Change: the error of such a call is unanswered only. Test: 'has refused a call only if neither way can have carried it out' now asks for that too, and failed before.

--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -189,8 +189,9 @@
 			if pending > 0 || !tryRelay {
 				break
 			}
-			if unanswered {
-				return zero, errors.Mark(a.err, store.ErrUnanswered)
+			if unanswered && errors.Is(a.err, store.ErrRefused) {
+				// The refusal says nothing about the other way.
+				return zero, errors.Mark(errors.Newf("other way unanswered: %v", a.err), store.ErrUnanswered)
 			}
 			return zero, a.err
 		}
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -155,11 +155,13 @@
 		open := brokenStore{err: store.ErrUnanswered}
 		_, err = relay.NewStore(open, links, &log).Transact(ctx, insertion("jobs", "a", "one"))
 		Expect(errors.Is(err, store.ErrUnanswered)).To(BeTrue(), "%v", err)
+		Expect(errors.Is(err, store.ErrRefused)).To(BeFalse())
 
 		other := relay.NewLinks()
 		other.SetPeers([]netip.AddrPort{peerWith(open)})
 		_, err = relay.NewStore(refusing, other, &log).Transact(ctx, insertion("jobs", "a", "one"))
 		Expect(errors.Is(err, store.ErrUnanswered)).To(BeTrue(), "%v", err)
+		Expect(errors.Is(err, store.ErrRefused)).To(BeFalse())
 	})
 
 	It("has an unknown outcome when the peer breaks off", func() {
