A call is given up when it makes no progress, not when its data take long

Cause: a read of the store was bounded in all (1.9 s, and 0.7 s after an error), the answer is not. With 4,200 queues the configuration is 1,087 KB; a host with 10 Mbit/s needs 0.89 s for it. Each read was given up with most of the answer received, and begun again, beside repeats and detours through peers that shared the link. Such a host never came back: a retry storm that feeds itself. Ruled out: a slow processor (0 to 1 %), a store that does not answer (101 answered, 0 not).

Timeouts of reads are idle timeouts; a repeat or a detour is sent only while there is no progress; of several attempts one transfers data, and one that is not needed any more is cancelled.

--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -144,8 +145,8 @@
 	err   error
 }
 
-// detour makes a call directly, and through a peer as soon as the store has failed
-// or has not answered for the time of patience. The first answer of the store
+// detour makes a call directly, and through a peer as soon as the store has failed,
+// or has not answered and made no progress for the time of patience. The first answer of the store
 // counts. Both ways may carry the call out, so it must be one of which only the
 // first has an effect. The error is ErrRefused only if neither way can have
 // carried it out.
@@ -161,6 +162,8 @@
 		}()
 	}
 	begin := time.Now()
+	var progress lastProgress
+	ctx = store.OnProgress(ctx, progress.record)
 	tryDirect, tryRelay := s.ways(begin)
 	if tryDirect {
 		send(direct, func(err error) { s.observeDirect(begin, err) })
@@ -175,8 +178,12 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return zero, errors.Mark(ctx.Err(), store.ErrUnanswered)
+			return zero, errors.Mark(context.Cause(ctx), store.ErrUnanswered)
 		case <-timer.C:
+			if left := time.Until(progress.at().Add(patience)); left > 0 {
+				timer.Reset(left)
+				continue
+			}
 			if !tryRelay {
 				s.setDetouring(begin, true, errSlow)
 			}
@@ -189,11 +196,7 @@
 			if pending > 0 || !tryRelay {
 				break
 			}
-			if unanswered && errors.Is(a.err, store.ErrRefused) {
-				// The refusal says nothing about the other way.
-				return zero, errors.Mark(errors.Newf("other way unanswered: %v", a.err), store.ErrUnanswered)
-			}
-			return zero, a.err
+			return zero, lastError(unanswered, a.err)
 		}
 		if !tryRelay {
 			tryRelay = true
@@ -202,6 +205,29 @@
 	}
 }
 
+// lastError returns the error of a call that has failed on both ways, of which err is
+// the last. If the other way is unanswered, a refusal says nothing about it.
+func lastError(unanswered bool, err error) error {
+	if unanswered && errors.Is(err, store.ErrRefused) {
+		return errors.Mark(errors.Newf("other way unanswered: %v", err), store.ErrUnanswered)
+	}
+	return err
+}
+
+// lastProgress is when a call last made progress.
+type lastProgress struct {
+	// nanos is in nanoseconds since 1970, or 0.
+	nanos atomic.Int64
+}
+
+func (l *lastProgress) record() {
+	l.nanos.Store(time.Now().UnixNano())
+}
+
+func (l *lastProgress) at() time.Time {
+	return time.Unix(0, l.nanos.Load())
+}
+
 // ways returns on which ways a call is sent at first: directly, or through a peer
 // while the store does not answer directly, and now and then on both.
 func (s *Store) ways(now time.Time) (direct, relayed bool) {
--- a/internal/edge/store/client.go
+++ b/internal/edge/store/client.go
@@ -106,6 +106,9 @@
 	rows, err := c.backend.Range(ctx, span, limit)
 	c.observeClock(rows.Clock)
 	c.observeCall(begin, 0, err)
+	if IsFinal(err) {
+		ReportProgress(ctx)
+	}
 	return rows, err
 }
 
--- a/internal/edge/store/hedge.go
+++ b/internal/edge/store/hedge.go
@@ -16,7 +16,8 @@
 	// hedgeLatencyFactor is that delay as a multiple of the mean latency. The
 	// answer may be lost, or it may only be late.
 	hedgeLatencyFactor = 4
-	attemptTimeout     = 1500 * time.Millisecond
+	// attemptTimeout is how long an attempt may make no progress.
+	attemptTimeout = 1500 * time.Millisecond
 	// hedgeDelayGrowth multiplies the delay after each attempt. It is small because
 	// the store may lose most writes for a while.
 	hedgeDelayGrowth = 1.5
@@ -37,7 +38,8 @@
 // under way. With a slow store the call ends with the answer to an early attempt
 // instead of starting over, and a lost answer delays it only until the next attempt.
 // The first answer counts. All attempts have the same effect, and at most one of
-// them takes effect.
+// them takes effect. While an attempt makes progress no other is sent, which would
+// take its share of the network.
 type hedgedCall[T any] struct {
 	// newAttempt prepares an attempt.
 	newAttempt func() func(context.Context) (T, error)
@@ -51,6 +53,7 @@
 	// effect.
 	mayHaveApplied bool
 	results        chan attemptResult[T]
+	transfer       transfer
 }
 
 // newHedgedCall returns a call that sends its second attempt after delay, within
@@ -67,6 +70,7 @@
 // run returns the first answer. Without one it returns ErrUnanswered if an attempt
 // may have taken effect, else the last refusal.
 func (h *hedgedCall[T]) run(ctx context.Context) (T, error) {
+	defer h.transfer.end()
 	h.send(ctx)
 	timer := time.NewTimer(h.hedgeDelay)
 	defer timer.Stop()
@@ -75,8 +79,12 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return zero, h.failure(err, ctx.Err())
+			return zero, h.failure(err, context.Cause(ctx))
 		case <-timer.C:
+			if left := time.Until(h.transfer.lastProgress().Add(h.hedgeDelay)); left > 0 && h.inFlight > 0 {
+				timer.Reset(left)
+				continue
+			}
 			if err != nil && h.refused(time.Now()) {
 				if h.inFlight == 0 {
 					return zero, h.failure(err, nil)
@@ -127,18 +135,24 @@
 }
 
 // send starts an attempt unless maxAttemptsInFlight are under way. An attempt may
-// outlive the call: cancelling it would close its connection, which could then not
-// be reused.
+// outlive the call, since cancelling it would close its connection, which could then
+// not be reused. An attempt is cancelled if it makes progress but its answer is not
+// needed.
 func (h *hedgedCall[T]) send(ctx context.Context) {
 	if h.inFlight >= maxAttemptsInFlight {
 		return
 	}
 	h.inFlight++
-	attempt, results := h.newAttempt(), h.results
+	attempt, results, transferring := h.newAttempt(), h.results, h.transfer.newAttempt()
 	go func() {
-		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), attemptTimeout)
+		limited, cancel := WithIdleTimeout(context.WithoutCancel(ctx), attemptTimeout)
 		defer cancel()
-		value, err := attempt(limited)
+		value, err := attempt(OnProgress(limited, func() {
+			if !h.transfer.progressed(transferring, time.Now()) {
+				cancel()
+			}
+		}))
+		h.transfer.attemptEnded(transferring)
 		results <- attemptResult[T]{value, err}
 	}()
 }
--- a/internal/edge/store/store.go
+++ b/internal/edge/store/store.go
@@ -80,7 +80,9 @@
 	Current []Row
 }
 
-// Store is the platform's transactional store.
+// Store is the platform's transactional store. Its calls report their progress
+// through ReportProgress, so that a caller can tell a large answer that is arriving
+// from none.
 type Store interface {
 	// Transact commits the change if its conditions hold.
 	Transact(ctx context.Context, change Change) (Outcome, error)
--- /dev/null
+++ b/internal/edge/store/transfer_test.go
@@ -0,0 +1,78 @@
+package store_test
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanshore/rattanshore/internal/edge/store"
+	"github.com/rattanshore/rattanshore/internal/ops/metrc"
+)
+
+// transferringStore answers each read with data that takes long to arrive.
+type transferringStore struct {
+	store.Store
+	// transfer is how long it takes for all data to arrive.
+	transfer time.Duration
+	// silentReads is how many reads stop arriving after their first part.
+	silentReads int32
+	reads       atomic.Int32
+	ended       atomic.Int32
+}
+
+// transferPart is the time between two parts of an answer.
+const transferPart = 20 * time.Millisecond
+
+func (s *transferringStore) Range(ctx context.Context, _ store.Span, _ int) (store.Rows, error) {
+	number := s.reads.Add(1)
+	defer s.ended.Add(1)
+	for begin := time.Now(); time.Since(begin) < s.transfer; {
+		store.ReportProgress(ctx)
+		pause := transferPart
+		if number <= s.silentReads {
+			pause = time.Minute
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return store.Rows{}, errors.Mark(context.Cause(ctx), store.ErrUnanswered)
+		}
+	}
+	return store.Rows{Version: 1, Rows: []store.Row{{Key: named("a"), Version: 1}}}, nil
+}
+
+var _ = Describe("a read with a large answer", func() {
+	// Guards against reads that are repeated while they arrive, so that each has only
+	// a share of the network.
+	It("is not given up or repeated while its answer arrives", func() {
+		s := &transferringStore{transfer: 2 * time.Second}
+		row, err := store.NewClient(s, &metrc.NewEntry().Store).Read(context.Background(), named("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(row.Version).To(Equal(int64(1)))
+		Expect(s.reads.Load()).To(Equal(int32(1)))
+	})
+
+	// Guards against waiting for a connection that has gone silent.
+	It("is repeated once its answer has stopped arriving", func() {
+		s := &transferringStore{transfer: time.Second, silentReads: 1}
+		begin := time.Now()
+		_, err := store.NewClient(s, &metrc.NewEntry().Store).Read(context.Background(), named("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(begin)).To(BeNumerically("<", 3*time.Second))
+		Eventually(s.ended.Load, 2*time.Second).Should(Equal(s.reads.Load()), "attempts that are not needed end")
+	})
+
+	It("ends when it has made no progress for the idle timeout", func() {
+		s := &transferringStore{transfer: time.Minute, silentReads: 100}
+		ctx, cancel := store.WithIdleTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		begin := time.Now()
+		_, err := s.Range(ctx, store.Span{}, 0)
+		Expect(errors.Is(err, context.DeadlineExceeded)).To(BeTrue(), "%v", err)
+		Expect(time.Since(begin)).To(BeNumerically("~", 300*time.Millisecond, 150*time.Millisecond))
+	})
+})
