A configuration that took long to arrive is confirmed at once

Callers of a host on a slow link saw 503 for 1.2 s more than the configuration took: an answer confirms the configuration as of when its call was sent, so a long one is old when it is there, and the next call waited for a change. That call is now sent without a wait.

--- a/internal/edge/fleet/host.go
+++ b/internal/edge/fleet/host.go
@@ -30,6 +30,9 @@
 	// answers. An answer confirms the configuration as of when its call was sent,
 	// so the confirmed configuration is at most twice this old.
 	operatorFeedWait = 1200 * time.Millisecond
+	// confirmAge is how long ago a confirmation may have been asked for when the next
+	// one is asked for with a wait.
+	confirmAge = operatorFeedWait + 300*time.Millisecond
 	// retryPause is the pause before a failed call to the store is repeated.
 	retryPause = 100 * time.Millisecond
 	// headerTimeout, bodyTimeout and idleTimeout limit the connections of all listeners.
@@ -190,11 +193,13 @@
 // out of service up to date until ctx ends.
 func (h *Host) followOperatorChanges(ctx context.Context) {
 	after, reachable := int64(0), true
+	var confirmedAt time.Time
 	for ctx.Err() == nil {
 		sentAt := h.clock()
 		wait := operatorFeedWait
-		if !reachable {
-			// Without a wait the host notices soon that the store is back.
+		if !reachable || sentAt.Sub(confirmedAt) > confirmAge {
+			// Without a wait the host notices soon that the store is back, and that
+			// an answer that took long to arrive is still in force.
 			wait = 0
 		}
 		changes, err := h.directory.OperatorChanges(ctx, after, wait)
@@ -210,7 +215,7 @@
 			logev.TableBack.Log(h.log).Int64("store-version", changes.Version).Send()
 		}
 		reachable = true
-		after = changes.Version
+		after, confirmedAt = changes.Version, sentAt
 		h.apply(changes, sentAt)
 	}
 }
--- a/internal/edge/fleet/slow_link_test.go
+++ b/internal/edge/fleet/slow_link_test.go
@@ -79,4 +79,13 @@
 			Eventually(status(key), inForceWithin).Should(Equal(http.StatusOK))
 		}
 	})
+
+	// Guards against a host that has the newest configuration and refuses all calls
+	// until its next wait for a change is over, since it asked for it long ago.
+	It("serves callers as soon as a configuration that took long has arrived", func() {
+		status := startOn(p, 127_000)
+		Eventually(status("key-1"), inForceWithin).Should(Equal(http.StatusOK))
+		p.Configure(grownConfig(2, manyQueues, "key-2"))
+		Eventually(status("key-2"), inForceWithin).Should(Equal(http.StatusOK))
+	})
 })
