A large row read through a peer is not given up while it arrives

The peer sends pings while the store's answer arrives at it; the host counts these, and each part of a message, as progress of the calls that wait on the link. Older hosts answer the pings and ignore them.

--- a/internal/edge/relay/links.go
+++ b/internal/edge/relay/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -20,7 +21,8 @@
 	Path = "/relay"
 	// dialTimeout bounds opening a link.
 	dialTimeout = 400 * time.Millisecond
-	// callTimeout bounds a call through a peer, apart from its wait for changes.
+	// callTimeout is how long a call through a peer may make no progress, apart from
+	// its wait for changes.
 	callTimeout = 700 * time.Millisecond
 	// linkIdle is how long an unused link stays open.
 	linkIdle = 10 * time.Second
@@ -78,7 +80,7 @@
 	if !ok {
 		return response{}, errors.Mark(errNoPeer, store.ErrRefused)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+time.Duration(request.WaitMillis)*time.Millisecond)
+	ctx, cancel := store.WithIdleTimeout(ctx, callTimeout+time.Duration(request.WaitMillis)*time.Millisecond)
 	defer cancel()
 	answer, err := l.callPeer(ctx, peer, request)
 	l.observe(peer, err)
@@ -93,6 +95,9 @@
 	}
 	answer, err := k.roundTrip(ctx, request)
 	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
 		if !errors.Is(err, context.Canceled) {
 			k.close()
 		}
@@ -146,13 +151,20 @@
 	mu      sync.Mutex
 	conn    *websocket.Conn
 	number  int64
-	waiting map[int64]chan wire.Response
+	waiting map[int64]waitingCall
+}
+
+// waitingCall is a call that waits for its response.
+type waitingCall struct {
+	response chan wire.Response
+	// progressed is called when a part of any response has arrived.
+	progressed func()
 }
 
 func newLink(peer netip.AddrPort, onClose func()) *link {
 	k := &link{
 		peer: peer, onClose: onClose, opening: make(chan struct{}, 1), closed: make(chan struct{}),
-		waiting: map[int64]chan wire.Response{},
+		waiting: map[int64]waitingCall{},
 	}
 	k.opening <- struct{}{}
 	k.idle = time.AfterFunc(linkIdle, k.close)
@@ -165,7 +177,7 @@
 	case <-k.opening:
 		defer func() { k.opening <- struct{}{} }()
 	case <-ctx.Done():
-		return ctx.Err()
+		return context.Cause(ctx)
 	}
 	k.mu.Lock()
 	open := k.conn != nil
@@ -175,7 +187,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, response, err := websocket.Dial(ctx, "ws://"+k.peer.String()+Path, nil)
+	conn, response, err := websocket.Dial(ctx, "ws://"+k.peer.String()+Path, &websocket.DialOptions{OnPingReceived: k.handlePing})
 	if response != nil && response.Body != nil {
 		defer func() { _ = response.Body.Close() }()
 	}
@@ -195,7 +207,11 @@
 func (k *link) read(conn *websocket.Conn) {
 	defer k.close()
 	for {
-		_, data, err := conn.Read(context.Background())
+		_, message, err := conn.Reader(context.Background())
+		if err != nil {
+			return
+		}
+		data, err := io.ReadAll(&partReader{message, k.reportProgress})
 		if err != nil {
 			return
 		}
@@ -207,16 +223,47 @@
 		caller := k.waiting[answer.Number]
 		delete(k.waiting, answer.Number)
 		k.mu.Unlock()
-		if caller != nil {
-			caller <- answer
+		if caller.response != nil {
+			caller.response <- answer
 		}
 	}
 }
 
+// handlePing handles a sign of the peer that an answer is arriving there.
+func (k *link) handlePing(context.Context, []byte) bool {
+	k.reportProgress()
+	return true
+}
+
+// reportProgress reports progress to all waiting calls: their responses come one
+// after the other.
+func (k *link) reportProgress() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, w := range k.waiting {
+		w.progressed()
+	}
+}
+
+// partReader calls received for each part of a message that it reads.
+type partReader struct {
+	reader   io.Reader
+	received func()
+}
+
+// Read implements io.Reader.
+func (r *partReader) Read(buffer []byte) (int, error) {
+	n, err := r.reader.Read(buffer)
+	if n > 0 {
+		r.received()
+	}
+	return n, err
+}
+
 // roundTrip sends a request and waits for its response.
 func (k *link) roundTrip(ctx context.Context, request wire.Request) (wire.Response, error) {
 	k.idle.Reset(linkIdle)
-	caller := make(chan wire.Response, 1)
+	caller := waitingCall{make(chan wire.Response, 1), func() { store.ReportProgress(ctx) }}
 	k.mu.Lock()
 	k.number++
 	request.Number = k.number
@@ -231,7 +278,7 @@
 		return wire.Response{}, err
 	}
 	select {
-	case answer := <-caller:
+	case answer := <-caller.response:
 		return answer, nil
 	case <-k.closed:
 		return wire.Response{}, errors.Newf("link to %s was closed", k.peer)
@@ -239,7 +286,7 @@
 		k.mu.Lock()
 		delete(k.waiting, request.Number)
 		k.mu.Unlock()
-		return wire.Response{}, ctx.Err()
+		return wire.Response{}, context.Cause(ctx)
 	}
 }
 
--- a/internal/edge/relay/server.go
+++ b/internal/edge/relay/server.go
@@ -19,9 +19,12 @@
 const (
 	// maxCallsPerLink limits the calls that one peer may have in progress.
 	maxCallsPerLink = 64
-	// storeTimeout bounds a call to the store for a peer, apart from its wait for
-	// changes. The peer has given up by then.
+	// storeTimeout is how long a call to the store for a peer may make no progress,
+	// apart from its wait for changes. The peer has given up by then.
 	storeTimeout = time.Second
+	// progressInterval is the least time between two signs to a peer that an answer
+	// of the store is arriving.
+	progressInterval = 200 * time.Millisecond
 	// maxWait bounds how long a peer may let the store wait for a change.
 	maxWait = 5 * time.Second
 )
@@ -85,7 +88,7 @@
 
 // answer carries out a request and sends the response.
 func (s *Server) answer(ctx context.Context, conn *websocket.Conn, request wire.Request) {
-	response := s.perform(ctx, request)
+	response := s.perform(reportToPeer(ctx, conn), request)
 	data, err := cbor.Marshal(response)
 	if err != nil {
 		logev.InternalProblem.Log(s.log).Err(err).Send()
@@ -95,10 +98,28 @@
 	_ = conn.Write(ctx, websocket.MessageBinary, data)
 }
 
+// reportToPeer returns a context whose calls send pings to the peer while they make
+// progress, so that the peer goes on waiting.
+func reportToPeer(ctx context.Context, conn *websocket.Conn) context.Context {
+	var sent lastProgress
+	return store.OnProgress(ctx, func() {
+		if time.Since(sent.at()) < progressInterval {
+			return
+		}
+		sent.record()
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+			defer cancel()
+			// The peer's pong does not matter, nor does a link that has broken.
+			_ = conn.Ping(ctx)
+		}()
+	})
+}
+
 // perform carries out a request and returns the response.
 func (s *Server) perform(ctx context.Context, request wire.Request) wire.Response {
 	wait := min(max(0, time.Duration(request.WaitMillis)*time.Millisecond), maxWait)
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout+wait)
+	ctx, cancel := store.WithIdleTimeout(ctx, storeTimeout+wait)
 	defer cancel()
 	switch request.Operation {
 	case wire.Insert:
