--- a/internal/edge/fleet/feeds.go
+++ b/internal/edge/fleet/feeds.go
@@ -21,7 +21,8 @@
 	// worker writes its entry each second or two, so without a pause each call
 	// would return a single entry.
 	workerFeedInterval = 250 * time.Millisecond
-	// loadTimeout bounds one attempt to load the state of earlier leaders.
+	// loadTimeout is how long an attempt to load the state of earlier leaders may make
+	// no progress.
 	loadTimeout = 5 * time.Second
 )
 
@@ -62,7 +63,7 @@
 // cancellation to the planner. It returns the version from which the jobs are to
 // be followed.
 func (s *session) loadState(ctx context.Context) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	ctx, cancel := store.WithIdleTimeout(ctx, loadTimeout)
 	defer cancel()
 	h := s.host
 	var (
--- a/internal/edge/fleet/slow_link_test.go
+++ b/internal/edge/fleet/slow_link_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -88,4 +89,22 @@
 		p.Configure(grownConfig(2, manyQueues, "key-2"))
 		Eventually(status("key-2"), inForceWithin).Should(Equal(http.StatusOK))
 	})
+
+	// Guards against a leader that never plans, since each load of the stored state is
+	// given up while the rows still arrive.
+	It("plans although the stored jobs take long to load", func() {
+		const jobs = 220
+		const loadedWithin = 20 * time.Second
+		for number := range jobs {
+			job := newJob(p, number+1)
+			job.Queue, job.Team, job.SubmittedAt = queue.Name, "parish", time.Now()
+			job.Payload = strings.Repeat("x", 4000)
+			value, err := cbor.Marshal(job)
+			Expect(err).NotTo(HaveOccurred())
+			p.Store.Put("jobs", job.ID, value)
+		}
+		startOn(p, 150_000)
+		progress := func() int { return len(p.Store.Rows("progress")) }
+		Eventually(progress, loadedWithin, 100*time.Millisecond).Should(BeNumerically(">", 0))
+	})
 })
