--- a/internal/edge/relay/links.go
+++ b/internal/edge/relay/links.go
@@ -211,7 +211,7 @@
 		if err != nil {
 			return
 		}
-		data, err := io.ReadAll(&partReader{message, k.reportProgress})
+		data, err := io.ReadAll(store.ReportReads(message, k.reportProgress))
 		if err != nil {
 			return
 		}
@@ -245,21 +245,6 @@
 	}
 }
 
-// partReader calls received for each part of a message that it reads.
-type partReader struct {
-	reader   io.Reader
-	received func()
-}
-
-// Read implements io.Reader.
-func (r *partReader) Read(buffer []byte) (int, error) {
-	n, err := r.reader.Read(buffer)
-	if n > 0 {
-		r.received()
-	}
-	return n, err
-}
-
 // roundTrip sends a request and waits for its response.
 func (k *link) roundTrip(ctx context.Context, request wire.Request) (wire.Response, error) {
 	k.idle.Reset(linkIdle)
--- a/internal/edge/store/progress.go
+++ b/internal/edge/store/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 )
 
@@ -39,3 +40,22 @@
 	}
 	return OnProgress(ctx, func() { timer.Reset(timeout) }), stop
 }
+
+// ReportReads returns a reader that calls report for each part that it reads.
+func ReportReads(reader io.Reader, report func()) io.Reader {
+	return &reportingReader{reader, report}
+}
+
+type reportingReader struct {
+	reader io.Reader
+	report func()
+}
+
+// Read implements io.Reader.
+func (r *reportingReader) Read(buffer []byte) (int, error) {
+	n, err := r.reader.Read(buffer)
+	if n > 0 {
+		r.report()
+	}
+	return n, err
+}
