A stored job that contradicts itself ends no leader

Evidence, before: TestScheduleOutOfRange 'tasks overflow: <nil>', 'due times overflow: <nil>'; 'plan on when a stored job is invalid': 'panic: runtime error: index out of range [0] with length 0' in plan.(*Model).endJob, called by addJob.

Change: jobs.Check divides instead of multiplying and bounds due times, which overflowed as well; feeds skip and log a job row that jobs.Check refuses, so that the planner relies on it for jobs from the store too.

--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -3,6 +3,8 @@
 package jobs
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/rattanshore/rattanshore/internal/core/rules"
@@ -27,6 +29,9 @@
 	// maxDemand bounds each number of a step's resource demand and schedule. No
 	// worker has this much of any resource.
 	maxDemand = 1 << 40
+	// maxSchedule bounds the time from 1970 to the first occurrence, and from that to
+	// the last one, so that no due time overflows.
+	maxSchedule = 139 * 365 * 24 * time.Hour
 )
 
 // Check returns an error that wraps ErrInvalid if the job is invalid.
@@ -48,15 +53,32 @@
 		}
 		total += s.Tasks
 	}
-	if total*max(1, job.Occurrences) > maxTasks {
+	if total > maxTasks/max(1, job.Occurrences) {
 		return errors.Wrapf(ErrInvalid, "job has more than %d tasks", maxTasks)
 	}
+	if err := checkSchedule(job); err != nil {
+		return err
+	}
 	if hasCycle(job) {
 		return errors.Wrap(ErrInvalid, "steps form a dependency cycle")
 	}
 	return nil
 }
 
+// checkSchedule returns an error if a due time of the job is out of range.
+func checkSchedule(job record.Job) error {
+	if job.Occurrences == 0 {
+		return nil
+	}
+	if job.IntervalMillis > maxSchedule.Milliseconds()/int64(job.Occurrences) {
+		return errors.Wrapf(ErrInvalid, "%d occurrences with an interval of %d ms", job.Occurrences, job.IntervalMillis)
+	}
+	if first := job.FirstDueAt.UnixMilli(); !job.FirstDueAt.IsZero() && (first < 0 || first > maxSchedule.Milliseconds()) {
+		return errors.Wrapf(ErrInvalid, "first occurrence is due at %d ms", first)
+	}
+	return nil
+}
+
 func validID(id string) bool {
 	if len(id) != idDigits {
 		return false
--- a/internal/core/jobs/jobs_test.go
+++ b/internal/core/jobs/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -48,6 +49,32 @@
 	}
 }
 
+// Guards against a submission whose number of tasks overflows: every leader that
+// read such a job would build its gangs until the memory ended.
+func TestScheduleOutOfRange(t *testing.T) {
+	invalid := map[string]func(*record.Job){
+		"tasks overflow":     func(j *record.Job) { j.Steps[0].Tasks = 3; j.Occurrences = 1 << 62 },
+		"too many in total":  func(j *record.Job) { j.Occurrences = 6667 },
+		"due times overflow": func(j *record.Job) { j.Occurrences, j.IntervalMillis = 3, 1<<62 },
+		"due in 300 years":   func(j *record.Job) { j.Occurrences, j.IntervalMillis = 301, 365*24*3600*1000 },
+		"starts never":       func(j *record.Job) { j.Occurrences, j.FirstDueAt = 1, time.UnixMilli(1<<62) },
+		"started before":     func(j *record.Job) { j.Occurrences, j.FirstDueAt = 1, time.UnixMilli(-1<<62) },
+	}
+	for name, mutate := range invalid {
+		job := validJob()
+		mutate(&job)
+		if err := jobs.Check(job); !errors.Is(err, jobs.ErrInvalid) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	daily := validJob()
+	daily.Occurrences, daily.IntervalMillis = 6666, 24*3600*1000
+	daily.FirstDueAt = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	if err := jobs.Check(daily); err != nil {
+		t.Errorf("daily for 18 years: %v", err)
+	}
+}
+
 func TestSupported(t *testing.T) {
 	sharing := validJob()
 	sharing.Steps[0].FillsIdle = true
--- a/internal/edge/fleet/feeds.go
+++ b/internal/edge/fleet/feeds.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rattanshore/rattanshore/internal/core/jobs"
 	"github.com/rattanshore/rattanshore/internal/core/plan"
 	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
@@ -140,13 +141,18 @@
 	s.runner.Send(plan.RosterMsg{Workers: roster.Workers})
 }
 
-// sendJob sends a job to the planner, with its progress if there is any.
+// sendJob sends a job to the planner, with its progress if there is any. A row that
+// is no valid job is skipped: the planner relies on what jobs.Check refuses.
 func (s *session) sendJob(row store.Row, progress map[string]record.Progress) {
 	if _, ok := cancelledJob(row.Key.Name); ok || row.Deleted {
 		return
 	}
 	var job record.Job
-	if err := decode(row.Value, &job); err != nil || job.ID != row.Key.Name || len(job.Steps) == 0 {
+	err := decode(row.Value, &job)
+	if err == nil {
+		err = jobs.Check(job)
+	}
+	if err != nil || job.ID != row.Key.Name {
 		logev.RowSkipped.Log(s.host.log).Str("table", row.Key.Table).Str("row", row.Key.Name).Err(err).Send()
 		return
 	}
--- a/internal/edge/fleet/host_test.go
+++ b/internal/edge/fleet/host_test.go
@@ -304,6 +304,27 @@
 		Eventually(state(two, job.ID), 4*time.Second).Should(Equal("completed"))
 	})
 
+	// Guards against a stored job that contradicts itself and ends the process of
+	// every leader that reads it.
+	It("plan on when a stored job is invalid", func() {
+		one := startHost(p, "one")
+		Eventually(func() int { return submit(one, newJob(p, 1)) }, 5*time.Second).Should(Equal(http.StatusOK))
+		for i, job := range []record.Job{
+			{Steps: []record.Step{{Tasks: 0, Gang: true}}},
+			{Steps: []record.Step{{Tasks: -1}}},
+			{Steps: []record.Step{{Tasks: 4}}, Occurrences: 1 << 62},
+			{Steps: []record.Step{{Tasks: 1, After: []int{1}}, {Tasks: 1, After: []int{0, -1, 7}}}},
+		} {
+			job.ID = fmt.Sprintf("ff%014x", i)
+			value, err := cbor.Marshal(job)
+			Expect(err).NotTo(HaveOccurred())
+			p.Store.Put("jobs", job.ID, value)
+		}
+		job := newJob(p, 2)
+		Expect(submit(one, job)).To(Equal(http.StatusOK))
+		Eventually(state(one, job.ID), 4*time.Second).Should(Equal("completed"))
+	})
+
 	It("refuse bad bodies and identifiers", func() {
 		one := startHost(p, "one")
 		Eventually(func() int { return submit(one, newJob(p, 1)) }, 5*time.Second).Should(Equal(http.StatusOK))
@@ -311,6 +332,7 @@
 			"text", map[string]any{"steps": "none"},
 			map[string]any{"steps": []any{map[string]any{"count": -1}}},
 			map[string]any{"steps": []any{map[string]any{"count": 1, "after": []int{4}}}},
+			map[string]any{"steps": []any{map[string]any{"count": 4}}, "times": 1 << 62},
 			map[string]any{"steps": []any{map[string]any{"count": 1, "after": []int{1}}, map[string]any{"count": 1, "after": []int{0}}}},
 		} {
 			status, _ := caller.Call(ctx, one.callers, http.MethodPost, "00000000000000aa", body, callTimeout)
