A configuration that cannot be read hides no evacuation

A field of an unexpected type in the operators' configuration made each read of the operators' rows fail for as long as the row stayed: evacuations were not put in force, the failed read was repeated ten times a second by every host, and the reason was only seen as table-lost.

Change: the other rows are put in force and the feed goes on. The earlier configuration stays in force but is no longer confirmed, so that keys are accepted for no longer than after a lost store, and callers are refused then. That is on purpose: which keys are revoked cannot be read either. The row is logged as row-skipped.

--- a/internal/edge/fleet/host.go
+++ b/internal/edge/fleet/host.go
@@ -58,9 +58,11 @@
 	// sequence makes each value of the leader row unique.
 	sequence atomic.Int64
 
-	mu           sync.Mutex
-	config       rules.Config
-	outOfService map[string]bool
+	mu     sync.Mutex
+	config rules.Config
+	// configUnreadable is set while the operators' configuration cannot be read.
+	configUnreadable bool
+	outOfService     map[string]bool
 	// notifyPlanner is called after each change by operators. It is nil unless this
 	// host is the leader.
 	notifyPlanner func()
@@ -216,7 +218,8 @@
 }
 
 // apply puts the operators' changes in force. sentAt is when the call that returned
-// them was sent.
+// them was sent. A configuration that cannot be read leaves the earlier one in force,
+// but not confirmed, since its keys may be revoked.
 func (h *Host) apply(changes OperatorChanges, sentAt time.Time) {
 	changed := len(changes.OutOfService) > 0 || len(changes.InService) > 0
 	h.mu.Lock()
@@ -232,23 +235,42 @@
 		delete(h.outOfService, d)
 		logev.DomainInForce.Log(h.log).Str("domain", d).Bool("in-service", true).Int64("store-version", changes.Version).Send()
 	}
-	if changes.Config != nil && changes.Config.Version > h.config.Version {
-		h.config = *changes.Config
-		changed = true
-	}
-	config, notify := h.config, h.notifyPlanner
+	changed = h.setConfig(changes) || changed
+	config, confirmed, notify := h.config, !h.configUnreadable, h.notifyPlanner
 	h.mu.Unlock()
 	h.frontend.mu.Lock()
 	if config.Version > 0 && h.frontend.gate.Set(config) {
 		logev.ConfigInForce.Log(h.log).Int64("config-version", config.Version).Int64("store-version", changes.Version).Send()
 	}
-	h.frontend.gate.Confirm(sentAt)
+	if confirmed {
+		h.frontend.gate.Confirm(sentAt)
+	}
 	h.frontend.mu.Unlock()
 	if changed && notify != nil {
 		notify()
 	}
 }
 
+// setConfig takes over a configuration that has changed, and reports whether it is
+// newer than the one in force. The caller holds h.mu.
+func (h *Host) setConfig(changes OperatorChanges) bool {
+	switch {
+	case changes.ConfigErr != nil:
+		h.configUnreadable = true
+		logev.RowSkipped.Log(h.log).Str("row", "configuration").Int64("config-version", h.config.Version).
+			Int64("store-version", changes.Version).Err(changes.ConfigErr).Send()
+		return false
+	case changes.Config == nil:
+		return false
+	}
+	h.configUnreadable = false
+	if changes.Config.Version <= h.config.Version {
+		return false
+	}
+	h.config = *changes.Config
+	return true
+}
+
 // sleep waits for the pause or until ctx ends.
 func sleep(ctx context.Context, pause time.Duration) {
 	select {
--- a/internal/edge/fleet/host_test.go
+++ b/internal/edge/fleet/host_test.go
@@ -304,6 +304,28 @@
 		Eventually(state(two, job.ID), 4*time.Second).Should(Equal("completed"))
 	})
 
+	// Guards against one unreadable row that hides all that operators change.
+	It("put evacuations in force, but accept no key for long, when the configuration cannot be read", func() {
+		one := startHost(p, "one")
+		Eventually(func() int { return submit(one, newJob(p, 1)) }, 5*time.Second).Should(Equal(http.StatusOK))
+		p.Store.Put("op", "config", []byte(`{"version":2,"tenants":7}`))
+		p.Evacuate("hall-a", true)
+		time.Sleep(300 * time.Millisecond)
+		before := p.Store.Stats().Reads
+		job := newJob(p, 2)
+		Expect(submit(one, job)).To(Equal(http.StatusOK))
+		Consistently(func() bool {
+			started := false
+			p.WithLock(func() { _, started = p.Pool.FirstStart(job.ID) })
+			return started
+		}, time.Second).Should(BeFalse())
+		// The leader's feeds of operators, jobs and workers, and the insertion's row.
+		Expect(p.Store.Stats().Reads - before).To(BeNumerically("<=", 8))
+		Eventually(func() int { return submit(one, newJob(p, 3)) }, 3*time.Second).Should(Equal(http.StatusServiceUnavailable))
+		configure(3, "key-2")
+		Eventually(func() int { return submit(one, newJob(p, 3)) }, time.Second).Should(Equal(http.StatusUnauthorized))
+	})
+
 	// Guards against a stored job that contradicts itself and ends the process of
 	// every leader that reads it.
 	It("plan on when a stored job is invalid", func() {
--- a/internal/edge/fleet/ports.go
+++ b/internal/edge/fleet/ports.go
@@ -28,8 +28,10 @@
 	Version int64
 	// Complete reports that the domains listed as out of service are all there are.
 	Complete bool
-	// Config is nil if it has not changed.
+	// Config is nil if it has not changed or cannot be read.
 	Config *rules.Config
+	// ConfigErr is set if the configuration has changed and cannot be read.
+	ConfigErr error
 	// OutOfService lists domains that are now out of service.
 	OutOfService []string
 	// InService lists domains that are in service again.
