An invalid attempt says nothing about an unanswered one

A caller could be told 503, that its job was not accepted and would never run, while the job was stored and ran: when the first try got no answer and a later one was answered as invalid. That is what a peer of another version answers that does not relay the table, and any answer of 400, 403 or 404 to a later try.

Change: an insertion whose other tries are unanswered is reported as open. Invalid on one way counts as refused there while the other way may still answer; on both ways, or after refusals only, it is a certain refusal as before.

--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -182,6 +182,7 @@
 			}
 		case a := <-answers:
 			pending--
+			a.err = onOneWay(a.err, unanswered, pending)
 			if store.IsFinal(a.err) {
 				return a.value, a.err
 			}
@@ -189,11 +190,7 @@
 			if pending > 0 || !tryRelay {
 				break
 			}
-			if unanswered && errors.Is(a.err, store.ErrRefused) {
-				// The refusal says nothing about the other way.
-				return zero, errors.Mark(errors.Newf("other way unanswered: %v", a.err), store.ErrUnanswered)
-			}
-			return zero, a.err
+			return zero, lastError(unanswered, a.err)
 		}
 		if !tryRelay {
 			tryRelay = true
@@ -202,6 +199,25 @@
 	}
 }
 
+// lastError returns the error of a call that has failed on both ways, of which err is
+// the last. If the other way is unanswered, a refusal says nothing about it.
+func lastError(unanswered bool, err error) error {
+	if unanswered && errors.Is(err, store.ErrRefused) {
+		return errors.Mark(errors.Newf("other way unanswered: %v", err), store.ErrUnanswered)
+	}
+	return err
+}
+
+// onOneWay returns the error of one way for the whole call. A call that is invalid
+// there is only refused while the other way may carry it out: a peer relays less than
+// the store does.
+func onOneWay(err error, unanswered bool, pending int) error {
+	if errors.Is(err, store.ErrInvalid) && (unanswered || pending > 0) {
+		return errors.Mark(errors.Newf("invalid on one way: %v", err), store.ErrRefused)
+	}
+	return err
+}
+
 // ways returns on which ways a call is sent at first: directly, or through a peer
 // while the store does not answer directly, and now and then on both.
 func (s *Store) ways(now time.Time) (direct, relayed bool) {
--- a/internal/edge/store/client.go
+++ b/internal/edge/store/client.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/rattanshore/rattanshore/internal/ops/metrc"
@@ -228,6 +229,9 @@
 	call.refusalDeadline = time.Now().Add(refusalTimeout)
 	outcome, err := call.run(ctx)
 	switch {
+	case err != nil && IsFinal(err) && (call.mayHaveApplied || call.inFlight > 0):
+		// This attempt has done nothing, which says nothing about the others.
+		return Row{}, errors.Mark(errors.Newf("other attempts unanswered: %v", err), ErrUnanswered)
 	case err != nil:
 		return Row{}, err
 	case outcome.Applied:
--- /dev/null
+++ b/internal/edge/store/insert_test.go
@@ -0,0 +1,63 @@
+package store_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattanshore/rattanshore/internal/edge/store"
+	"github.com/rattanshore/rattanshore/internal/ops/metrc"
+)
+
+// scriptedStore answers the transactions with one error after the other, each after
+// its delay.
+type scriptedStore struct {
+	store.Store
+	answers chan scriptedAnswer
+}
+
+type scriptedAnswer struct {
+	delay time.Duration
+	err   error
+}
+
+func (s scriptedStore) Transact(context.Context, store.Change) (store.Outcome, error) {
+	a := <-s.answers
+	time.Sleep(a.delay)
+	return store.Outcome{}, a.err
+}
+
+// Guards against a caller who is told that a job was not stored while an earlier
+// attempt without an answer may have stored it.
+func TestInvalidAfterUnanswered(t *testing.T) {
+	cases := map[string][]scriptedAnswer{
+		"answer was lost":  {{0, store.ErrUnanswered}, {0, store.ErrInvalid}},
+		"still under way":  {{300 * time.Millisecond, nil}, {0, store.ErrInvalid}},
+		"refused at first": {{0, store.ErrRefused}, {0, store.ErrUnanswered}, {0, store.ErrInvalid}},
+	}
+	for name, answers := range cases {
+		s := scriptedStore{answers: make(chan scriptedAnswer, len(answers))}
+		for _, a := range answers {
+			s.answers <- a
+		}
+		client := store.NewClient(s, &metrc.NewFleet().Store)
+		_, err := client.Insert(context.Background(), store.Row{Key: named("a")}, time.Second)
+		if !errors.Is(err, store.ErrUnanswered) {
+			t.Errorf("%s: %v does not say that the outcome is open", name, err)
+		}
+	}
+}
+
+// A call that is invalid at every attempt has certainly stored nothing.
+func TestInvalidAfterRefused(t *testing.T) {
+	s := scriptedStore{answers: make(chan scriptedAnswer, 2)}
+	s.answers <- scriptedAnswer{0, store.ErrRefused}
+	s.answers <- scriptedAnswer{0, store.ErrInvalid}
+	client := store.NewClient(s, &metrc.NewFleet().Store)
+	_, err := client.Insert(context.Background(), store.Row{Key: named("a")}, time.Second)
+	if !errors.Is(err, store.ErrInvalid) || errors.Is(err, store.ErrUnanswered) {
+		t.Errorf("%v, want a certain refusal", err)
+	}
+}
