A job of many tasks ends no leader's term

A job with some thousand tasks stopped all planning: its progress took more than the 64 KB of a row, the store refused the transaction as invalid, the leader gave up, and each successor did the same as soon as it placed the job. 900 tasks placed at once with their checkpoints take 81 KB, about 1,050 without any and 2,100 done ones 64 KB; jobs may have 20,000, occurrences of a timed job counted together.

Cause: one row holds the progress of all tasks. Besides, a batch was one transaction, which could exceed the store's 1 MB, or its 100 entries when many ended jobs are removed.

Change: progress from 48 KB on is stored compressed, which takes 52 KB for 20,000 done tasks and 56 KB for 5,000 placed ones. A batch is split into transactions that the store accepts; the three rows of a removed job stay together, since a job without its progress would be run again.

Left: from about 5,800 tasks of one job placed at the same time, or 2,900 with checkpoints, the row is too large again.

--- a/internal/edge/fleet/feeds.go
+++ b/internal/edge/fleet/feeds.go
@@ -121,8 +121,8 @@
 	}
 	progress := make(map[string]record.Progress, len(rows.Rows))
 	for _, r := range rows.Rows {
-		var p record.Progress
-		if err := decode(r.Value, &p); err != nil {
+		p, err := decodeProgress(r.Value)
+		if err != nil {
 			logev.RowSkipped.Log(s.host.log).Str("table", r.Key.Table).Str("row", r.Key.Name).Err(err).Send()
 			continue
 		}
--- a/internal/edge/fleet/frontend.go
+++ b/internal/edge/fleet/frontend.go
@@ -134,8 +134,8 @@
 		return "", errors.Mark(err, ErrNotReady)
 	}
 	if row.Version > 0 {
-		var p record.Progress
-		if err := decode(row.Value, &p); err != nil {
+		p, err := decodeProgress(row.Value)
+		if err != nil {
 			return "", errors.Mark(err, ErrNotReady)
 		}
 		return p.State, nil
--- a/internal/edge/fleet/host_test.go
+++ b/internal/edge/fleet/host_test.go
@@ -326,6 +326,18 @@
 		Eventually(func() int { return submit(one, newJob(p, 3)) }, time.Second).Should(Equal(http.StatusUnauthorized))
 	})
 
+	// Guards against one job whose progress is too large for a row of the store, so
+	// that every leader is lost as soon as it places the job.
+	It("plan a job of many tasks", func() {
+		one := startHost(p, "one")
+		job := record.Job{ID: fmt.Sprintf("%016x", 1), Payload: "bell", Steps: []record.Step{
+			{Tasks: 1600, EstimateMillis: 300, Need: record.Amount{MilliCores: 100, MemoryMB: 10}},
+		}}
+		p.RegisterJob(job)
+		Eventually(func() int { return submit(one, job) }, 5*time.Second).Should(Equal(http.StatusOK))
+		Eventually(state(one, job.ID), 20*time.Second, 100*time.Millisecond).Should(Equal("completed"))
+	})
+
 	// Guards against a stored job that contradicts itself and ends the process of
 	// every leader that reads it.
 	It("plan on when a stored job is invalid", func() {
--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -96,37 +96,20 @@
 	}
 }
 
-// commitBatch commits one batch together with a renewal of the leader row.
+// commitBatch commits one batch, each transaction together with a renewal of the
+// leader row.
 func (s *session) commitBatch(ctx context.Context, cmd plan.WriteCmd) error {
-	var change store.Change
-	put := func(key store.Key, value any) error {
-		encoded, err := encode(value)
-		if err != nil {
-			return errors.Wrapf(err, "encode row %s", key.Name)
-		}
-		change.Put = append(change.Put, store.Row{Key: key, Value: encoded})
-		return nil
-	}
-	for _, p := range cmd.Progress {
-		if err := put(progressKey(p.ID), p); err != nil {
-			return err
-		}
+	b, err := newBatch(cmd)
+	if err != nil {
+		return err
 	}
-	for _, roster := range cmd.Rosters {
-		if err := put(rosterKey(roster.Part), roster); err != nil {
+	value := func() []byte { return s.host.leaderRowValue(s.host.settings.Host.ID, s.epoch) }
+	for _, change := range b.changes {
+		if _, err := s.writer.Apply(ctx, change, value); err != nil {
 			return err
 		}
 	}
-	if cmd.Waiting != nil {
-		if err := put(waitingKey, cmd.Waiting); err != nil {
-			return err
-		}
-	}
-	for _, id := range cmd.Deleted {
-		change.Remove = append(change.Remove, progressKey(id), jobKey(id), cancelKey(id))
-	}
-	_, err := s.writer.Apply(ctx, change, func() []byte { return s.host.leaderRowValue(s.host.settings.Host.ID, s.epoch) })
-	return err
+	return nil
 }
 
 // handOver writes the leader row without a holder, so that a successor need not
