--- a/internal/edge/fleet/feeds.go
+++ b/internal/edge/fleet/feeds.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rattanshore/rattanshore/internal/core/jobs"
 	"github.com/rattanshore/rattanshore/internal/core/plan"
 	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
@@ -121,8 +122,8 @@
 	}
 	progress := make(map[string]record.Progress, len(rows.Rows))
 	for _, r := range rows.Rows {
-		var p record.Progress
-		if err := decode(r.Value, &p); err != nil {
+		p, err := decodeProgress(r.Value)
+		if err != nil {
 			logev.RowSkipped.Log(s.host.log).Str("table", r.Key.Table).Str("row", r.Key.Name).Err(err).Send()
 			continue
 		}
@@ -141,13 +142,18 @@
 	s.runner.Send(plan.RosterMsg{Workers: roster.Workers})
 }
 
-// sendJob sends a job to the planner, with its progress if there is any.
+// sendJob sends a job to the planner, with its progress if there is any. A row that
+// is no valid job is skipped: the planner relies on what jobs.Check refuses.
 func (s *session) sendJob(row store.Row, progress map[string]record.Progress) {
 	if _, ok := cancelledJob(row.Key.Name); ok || row.Deleted {
 		return
 	}
 	var job record.Job
-	if err := decode(row.Value, &job); err != nil || job.ID != row.Key.Name || len(job.Steps) == 0 {
+	err := decode(row.Value, &job)
+	if err == nil {
+		err = jobs.Check(job)
+	}
+	if err != nil || job.ID != row.Key.Name {
 		logev.RowSkipped.Log(s.host.log).Str("table", row.Key.Table).Str("row", row.Key.Name).Err(err).Send()
 		return
 	}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -189,6 +189,7 @@
 			}
 		case a := <-answers:
 			pending--
+			a.err = onOneWay(a.err, unanswered, pending)
 			if store.IsFinal(a.err) {
 				return a.value, a.err
 			}
@@ -228,6 +229,16 @@
 	return time.Unix(0, l.nanos.Load())
 }
 
+// onOneWay returns the error of one way for the whole call. A call that is invalid
+// there is only refused while the other way may carry it out: a peer relays less than
+// the store does.
+func onOneWay(err error, unanswered bool, pending int) error {
+	if errors.Is(err, store.ErrInvalid) && (unanswered || pending > 0) {
+		return errors.Mark(errors.Newf("invalid on one way: %v", err), store.ErrRefused)
+	}
+	return err
+}
+
 // ways returns on which ways a call is sent at first: directly, or through a peer
 // while the store does not answer directly, and now and then on both.
 func (s *Store) ways(now time.Time) (direct, relayed bool) {
