Only the answer to a call itself keeps it from being repeated

Callers would have waited 1 s instead of 40 ms for an insertion whose answer was lost at a peer.

Cause: any progress counted as that of the call: responses to others on the same link, the sending of a large change, and answers that break off each time. So calls went unrepeated, their repeats were thrown away, or they never ended.

Change: progress (idle timeouts) and the arrival of a call's own large answer (no repeat, no detour) are told apart. Three broken answers end a call. A change's first repeat waits for the time that its sending takes on the narrowest link. A direct answer that arrives ends a detour.

--- a/internal/edge/fleet/host.go
+++ b/internal/edge/fleet/host.go
@@ -28,11 +28,12 @@
 const (
 	// operatorFeedWait is how long the store may wait for a change before it
 	// answers. An answer confirms the configuration as of when its call was sent,
-	// so the confirmed configuration is at most twice this old.
+	// so the confirmed configuration is at most twice this old, and older by the time
+	// that a large answer takes to arrive.
 	operatorFeedWait = 1200 * time.Millisecond
-	// confirmAge is how long ago a confirmation may have been asked for when the next
-	// one is asked for with a wait.
-	confirmAge = operatorFeedWait + 300*time.Millisecond
+	// maxConfirmedAge is the age of a confirmation from which the next one is asked for
+	// without a wait.
+	maxConfirmedAge = operatorFeedWait + 300*time.Millisecond
 	// retryPause is the pause before a failed call to the store is repeated.
 	retryPause = 100 * time.Millisecond
 	// headerTimeout, bodyTimeout and idleTimeout limit the connections of all listeners.
@@ -199,7 +200,7 @@
 	for ctx.Err() == nil {
 		sentAt := h.clock()
 		wait := operatorFeedWait
-		if !reachable || sentAt.Sub(confirmedAt) > confirmAge {
+		if !reachable || sentAt.Sub(confirmedAt) > maxConfirmedAge {
 			// Without a wait the host notices soon that the store is back, and that
 			// an answer that took long to arrive is still in force.
 			wait = 0
--- a/internal/edge/relay/links.go
+++ b/internal/edge/relay/links.go
@@ -28,6 +28,9 @@
 	linkIdle = 10 * time.Second
 	// maxMessageBytes bounds one message.
 	maxMessageBytes = 8 << 20
+	// largeMessageBytes is how much of a message arrives before the rest is progress
+	// for the calls that wait behind it.
+	largeMessageBytes = 16 << 10
 )
 
 // errNoPeer means that this host knows no peer.
@@ -157,7 +160,7 @@
 // waitingCall is a call that waits for its response.
 type waitingCall struct {
 	response chan wire.Response
-	// progressed is called when a part of any response has arrived.
+	// progressed is called when the call has made progress.
 	progressed func()
 }
 
@@ -211,7 +214,7 @@
 		if err != nil {
 			return
 		}
-		data, err := io.ReadAll(store.ReportReads(message, k.reportProgress))
+		data, err := io.ReadAll(store.ReportReads(message, largeMessageBytes, k.reportProgress))
 		if err != nil {
 			return
 		}
@@ -229,14 +232,15 @@
 	}
 }
 
-// handlePing handles a sign of the peer that an answer is arriving there.
+// handlePing handles the sign of the peer that a large answer is arriving there. It
+// returns true, so that the ping is answered.
 func (k *link) handlePing(context.Context, []byte) bool {
 	k.reportProgress()
 	return true
 }
 
-// reportProgress reports progress to all waiting calls: their responses come one
-// after the other.
+// reportProgress reports progress to all waiting calls while a large answer arrives,
+// here or at the peer: their responses come after it, if not with it.
 func (k *link) reportProgress() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -259,6 +263,7 @@
 	if err != nil {
 		return wire.Response{}, err
 	}
+	defer k.forget(request.Number)
 	if err := conn.Write(ctx, websocket.MessageBinary, data); err != nil {
 		return wire.Response{}, err
 	}
@@ -268,13 +273,17 @@
 	case <-k.closed:
 		return wire.Response{}, errors.Newf("link to %s was closed", k.peer)
 	case <-ctx.Done():
-		k.mu.Lock()
-		delete(k.waiting, request.Number)
-		k.mu.Unlock()
 		return wire.Response{}, context.Cause(ctx)
 	}
 }
 
+// forget removes a call that waits no more.
+func (k *link) forget(number int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.waiting, number)
+}
+
 // close closes the link. Calls on it end without an answer.
 func (k *link) close() {
 	k.closing.Do(func() {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -146,14 +146,14 @@
 }
 
 // detour makes a call directly, and through a peer as soon as the store has failed,
-// or has not answered and made no progress for the time of patience. The first answer of the store
+// or no part of its answer has arrived for the time of patience. The first answer of the store
 // counts. Both ways may carry the call out, so it must be one of which only the
 // first has an effect. The error is ErrRefused only if neither way can have
 // carried it out.
 func detour[T any](ctx context.Context, s *Store, patience time.Duration, direct, relayed func(context.Context) (T, error)) (T, error) {
 	answers := make(chan answer[T], 2)
 	pending := 0
-	send := func(call func(context.Context) (T, error), observe func(error)) {
+	send := func(ctx context.Context, call func(context.Context) (T, error), observe func(error)) {
 		pending++
 		go func() {
 			value, err := call(ctx)
@@ -162,14 +162,17 @@
 		}()
 	}
 	begin := time.Now()
-	var progress lastProgress
-	ctx = store.OnProgress(ctx, progress.record)
+	var arrivedAt atomic.Int64
+	directCtx := store.OnArrival(ctx, func() {
+		arrivedAt.Store(time.Now().UnixNano())
+		s.setDetouring(begin, false, nil)
+	})
 	tryDirect, tryRelay := s.ways(begin)
 	if tryDirect {
-		send(direct, func(err error) { s.observeDirect(begin, err) })
+		send(directCtx, direct, func(err error) { s.observeDirect(begin, err) })
 	}
 	if tryRelay {
-		send(relayed, func(error) {})
+		send(ctx, relayed, func(error) {})
 	}
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
@@ -180,7 +183,7 @@
 		case <-ctx.Done():
 			return zero, errors.Mark(context.Cause(ctx), store.ErrUnanswered)
 		case <-timer.C:
-			if left := time.Until(progress.at().Add(patience)); left > 0 {
+			if left := time.Until(time.Unix(0, arrivedAt.Load()).Add(patience)); left > 0 {
 				timer.Reset(left)
 				continue
 			}
@@ -201,7 +204,7 @@
 		}
 		if !tryRelay {
 			tryRelay = true
-			send(relayed, func(error) {})
+			send(ctx, relayed, func(error) {})
 		}
 	}
 }
@@ -215,20 +218,6 @@
 	return err
 }
 
-// lastProgress is when a call last made progress.
-type lastProgress struct {
-	// nanos is in nanoseconds since 1970, or 0.
-	nanos atomic.Int64
-}
-
-func (l *lastProgress) record() {
-	l.nanos.Store(time.Now().UnixNano())
-}
-
-func (l *lastProgress) at() time.Time {
-	return time.Unix(0, l.nanos.Load())
-}
-
 // onOneWay returns the error of one way for the whole call. A call that is invalid
 // there is only refused while the other way may carry it out: a peer relays less than
 // the store does.
--- a/internal/edge/relay/server.go
+++ b/internal/edge/relay/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,7 +21,7 @@
 	// maxCallsPerLink limits the calls that one peer may have in progress.
 	maxCallsPerLink = 64
 	// storeTimeout is how long a call to the store for a peer may make no progress,
-	// apart from its wait for changes. The peer has given up by then.
+	// apart from its wait for changes. A peer that saw no progress has given up by then.
 	storeTimeout = time.Second
 	// progressInterval is the least time between two signs to a peer that an answer
 	// of the store is arriving.
@@ -98,15 +99,16 @@
 	_ = conn.Write(ctx, websocket.MessageBinary, data)
 }
 
-// reportToPeer returns a context whose calls send pings to the peer while they make
-// progress, so that the peer goes on waiting.
+// reportToPeer returns a context whose calls send pings to the peer while a large
+// answer arrives, so that the peer goes on waiting.
 func reportToPeer(ctx context.Context, conn *websocket.Conn) context.Context {
-	var sent lastProgress
-	return store.OnProgress(ctx, func() {
-		if time.Since(sent.at()) < progressInterval {
+	var sentAt atomic.Int64
+	return store.OnArrival(ctx, func() {
+		now := time.Now()
+		if now.Before(time.Unix(0, sentAt.Load()).Add(progressInterval)) {
 			return
 		}
-		sent.record()
+		sentAt.Store(now.UnixNano())
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 			defer cancel()
--- a/internal/edge/store/client.go
+++ b/internal/edge/store/client.go
@@ -107,7 +107,8 @@
 	rows, err := c.backend.Range(ctx, span, limit)
 	c.observeClock(rows.Clock)
 	c.observeCall(begin, 0, err)
-	if IsFinal(err) {
+	if err == nil {
+		// A read of several pages goes on as long as pages arrive.
 		ReportProgress(ctx)
 	}
 	return rows, err
--- a/internal/edge/store/hedge.go
+++ b/internal/edge/store/hedge.go
@@ -23,6 +23,9 @@
 	hedgeDelayGrowth = 1.5
 	// maxAttemptsInFlight limits the concurrent attempts of one call.
 	maxAttemptsInFlight = 8
+	// maxBrokenAnswers is how many large answers may end early before the call fails.
+	// Each one extends the time that the call has.
+	maxBrokenAnswers = 3
 	// minBackoff and maxBackoff bound the pause after a refused attempt.
 	minBackoff = 15 * time.Millisecond
 	maxBackoff = 250 * time.Millisecond
@@ -38,7 +41,7 @@
 // under way. With a slow store the call ends with the answer to an early attempt
 // instead of starting over, and a lost answer delays it only until the next attempt.
 // The first answer counts. All attempts have the same effect, and at most one of
-// them takes effect. While an attempt makes progress no other is sent, which would
+// them takes effect. While a large answer arrives no other attempt is sent, which would
 // take its share of the network.
 type hedgedCall[T any] struct {
 	// newAttempt prepares an attempt.
@@ -53,7 +56,7 @@
 	// effect.
 	mayHaveApplied bool
 	results        chan attemptResult[T]
-	transfer       transfer
+	transfers      transfers
 }
 
 // newHedgedCall returns a call that sends its second attempt after delay, within
@@ -70,7 +73,7 @@
 // run returns the first answer. Without one it returns ErrUnanswered if an attempt
 // may have taken effect, else the last refusal.
 func (h *hedgedCall[T]) run(ctx context.Context) (T, error) {
-	defer h.transfer.end()
+	defer h.transfers.end()
 	h.send(ctx)
 	timer := time.NewTimer(h.hedgeDelay)
 	defer timer.Stop()
@@ -81,7 +84,7 @@
 		case <-ctx.Done():
 			return zero, h.failure(err, context.Cause(ctx))
 		case <-timer.C:
-			if left := time.Until(h.transfer.lastProgress().Add(h.hedgeDelay)); left > 0 && h.inFlight > 0 {
+			if left := time.Until(h.transfers.lateAt(h.hedgeDelay)); left > 0 {
 				timer.Reset(left)
 				continue
 			}
@@ -101,6 +104,9 @@
 			}
 			err = r.err
 			h.mayHaveApplied = h.mayHaveApplied || !errors.Is(err, ErrRefused)
+			if h.transfers.brokenAnswers() >= maxBrokenAnswers {
+				return r.value, h.failure(err, nil)
+			}
 			if h.inFlight > 0 {
 				continue
 			}
@@ -136,23 +142,22 @@
 
 // send starts an attempt unless maxAttemptsInFlight are under way. An attempt may
 // outlive the call, since cancelling it would close its connection, which could then
-// not be reused. An attempt is cancelled if it makes progress but its answer is not
-// needed.
+// not be reused. It is cancelled only if a large answer is arriving that is not needed.
 func (h *hedgedCall[T]) send(ctx context.Context) {
 	if h.inFlight >= maxAttemptsInFlight {
 		return
 	}
 	h.inFlight++
-	attempt, results, transferring := h.newAttempt(), h.results, h.transfer.newAttempt()
+	attempt, results, answer := h.newAttempt(), h.results, &transfer{}
 	go func() {
 		limited, cancel := WithIdleTimeout(context.WithoutCancel(ctx), attemptTimeout)
 		defer cancel()
-		value, err := attempt(OnProgress(limited, func() {
-			if !h.transfer.progressed(transferring, time.Now()) {
+		value, err := attempt(OnArrival(limited, func() {
+			if !h.transfers.claim(answer, time.Now()) {
 				cancel()
 			}
 		}))
-		h.transfer.attemptEnded(transferring)
+		h.transfers.attemptEnded(answer, err)
 		results <- attemptResult[T]{value, err}
 	}()
 }
--- a/internal/edge/store/progress.go
+++ b/internal/edge/store/progress.go
@@ -6,23 +6,46 @@
 	"time"
 )
 
-// progressKey is the key under which a context holds the function that is called when
-// a call makes progress.
-type progressKey struct{}
+// Keys under which a context holds the functions that OnProgress and OnArrival add.
+type (
+	progressKey struct{}
+	arrivalKey  struct{}
+)
 
 // OnProgress returns a context whose calls call notify whenever they make progress.
 // The functions of the contexts above are called as well.
 func OnProgress(ctx context.Context, notify func()) context.Context {
-	return context.WithValue(ctx, progressKey{}, func() {
+	return addNotifier(ctx, progressKey{}, notify)
+}
+
+// OnArrival returns a context whose calls call notify whenever a part of their own
+// answer has arrived, if that is large.
+func OnArrival(ctx context.Context, notify func()) context.Context {
+	return addNotifier(ctx, arrivalKey{}, notify)
+}
+
+// ReportProgress is called by stores when another part of a large request or answer
+// has passed the network on which the call under the context waits.
+func ReportProgress(ctx context.Context) {
+	notifyAll(ctx, progressKey{})
+}
+
+// ReportArrival is called by stores when another part of the large answer to the call
+// under the context has arrived. That is progress, too.
+func ReportArrival(ctx context.Context) {
+	notifyAll(ctx, arrivalKey{})
+	ReportProgress(ctx)
+}
+
+func addNotifier(ctx context.Context, key any, notify func()) context.Context {
+	return context.WithValue(ctx, key, func() {
 		notify()
-		ReportProgress(ctx)
+		notifyAll(ctx, key)
 	})
 }
 
-// ReportProgress is called by stores when another part of a large request has been
-// sent, or of a large answer has arrived, for a call under the context.
-func ReportProgress(ctx context.Context) {
-	if notify, ok := ctx.Value(progressKey{}).(func()); ok {
+func notifyAll(ctx context.Context, key any) {
+	if notify, ok := ctx.Value(key).(func()); ok {
 		notify()
 	}
 }
@@ -41,20 +64,24 @@
 	return OnProgress(ctx, func() { timer.Reset(timeout) }), stop
 }
 
-// ReportReads returns a reader that calls report for each part that it reads.
-func ReportReads(reader io.Reader, report func()) io.Reader {
-	return &reportingReader{reader, report}
+// ReportReads returns a reader that calls report for each part that it reads after
+// the first bytes, of the given number.
+func ReportReads(reader io.Reader, skip int, report func()) io.Reader {
+	return &reportingReader{reader, skip, report}
 }
 
 type reportingReader struct {
 	reader io.Reader
+	// skip is the number of bytes that are still to be read without a report.
+	skip   int
 	report func()
 }
 
 // Read implements io.Reader.
 func (r *reportingReader) Read(buffer []byte) (int, error) {
 	n, err := r.reader.Read(buffer)
-	if n > 0 {
+	r.skip -= n
+	if n > 0 && r.skip <= 0 {
 		r.report()
 	}
 	return n, err
--- a/internal/edge/store/store.go
+++ b/internal/edge/store/store.go
@@ -80,9 +80,8 @@
 	Current []Row
 }
 
-// Store is the platform's transactional store. Its calls report their progress
-// through ReportProgress, so that a caller can tell a large answer that is arriving
-// from none.
+// Store is the platform's transactional store. An implementation that transfers large
+// answers reports them through ReportArrival, so that they are not given up meanwhile.
 type Store interface {
 	// Transact commits the change if its conditions hold.
 	Transact(ctx context.Context, change Change) (Outcome, error)
--- a/internal/edge/store/store_test.go
+++ b/internal/edge/store/store_test.go
@@ -25,6 +25,7 @@
 type server struct {
 	injector *faults.Injector
 	rows     *tables.Table
+	backend  store.Store
 	client   *store.Client
 }
 
@@ -34,7 +35,8 @@
 	http := httptest.NewServer(rows.Handler())
 	DeferCleanup(http.Close)
 	address := netip.MustParseAddrPort(strings.TrimPrefix(http.URL, "http://"))
-	return &server{injector: injector, rows: rows, client: store.NewClient(platform.NewStore(address, "entry-1"), &metrc.NewEntry().Store)}
+	backend := platform.NewStore(address, "entry-1")
+	return &server{injector: injector, rows: rows, backend: backend, client: store.NewClient(backend, &metrc.NewEntry().Store)}
 }
 
 // numbered returns a function that gives a different fence row value each time.
--- a/internal/edge/store/transfer.go
+++ b/internal/edge/store/transfer.go
@@ -5,60 +5,76 @@
 	"time"
 )
 
-// stalledAfter is how long an attempt that transfers data may make no progress
-// before another attempt may transfer data in its place.
+// stalledAfter is how long an attempt whose answer is arriving may make no progress
+// before the answer to another attempt may arrive in its place.
 const stalledAfter = 500 * time.Millisecond
 
-// transfer decides which attempt of a call may transfer a large request or answer:
-// one at a time, since several would share the bandwidth and all end late.
-type transfer struct {
-	mu sync.Mutex
-	// attempts is the number of attempts so far. active is the number of the one that
-	// transfers data, or 0.
-	attempts, active int
-	progressAt       time.Time
-	ended            bool
+// transfers decides which attempt of a call may receive its large answer: one at a
+// time, since several would share the bandwidth and all end late.
+type transfers struct {
+	mu     sync.Mutex
+	active *transfer
+	// arrivedAt is when a part of the active attempt's answer last arrived.
+	arrivedAt time.Time
+	// broken counts the answers that did not arrive whole.
+	broken int
+	ended  bool
 }
 
-// newAttempt returns the number of a new attempt.
-func (t *transfer) newAttempt() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.attempts++
-	return t.attempts
+// transfer is the part of one attempt.
+type transfer struct {
+	// arriving is set once a part of the answer has arrived, superseded once that
+	// answer is not needed.
+	arriving, superseded bool
 }
 
-// progressed records that an attempt has made progress. It reports whether the attempt
-// may go on.
-func (t *transfer) progressed(attempt int, now time.Time) bool {
+// claim records that a part of an attempt's answer has arrived. It reports whether the
+// rest may follow.
+func (t *transfers) claim(attempt *transfer, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	taken := t.active != 0 && t.active != attempt && now.Sub(t.progressAt) < stalledAfter
+	attempt.arriving = true
+	taken := t.active != nil && t.active != attempt && now.Sub(t.arrivedAt) < stalledAfter
 	if t.ended || taken {
+		attempt.superseded = true
 		return false
 	}
-	t.active, t.progressAt = attempt, now
+	t.active, t.arrivedAt = attempt, now
 	return true
 }
 
-// attemptEnded records that an attempt has its result.
-func (t *transfer) attemptEnded(attempt int) {
+// attemptEnded records the result of an attempt.
+func (t *transfers) attemptEnded(attempt *transfer, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.active == attempt {
-		t.active = 0
+		t.active = nil
+	}
+	if attempt.arriving && !attempt.superseded && !IsFinal(err) {
+		t.broken++
+	}
+}
+
+// lateAt returns when the active attempt is late, if its answer goes on arriving for the
+// given time after each part, or zero if no answer is arriving.
+func (t *transfers) lateAt(delay time.Duration) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.active == nil {
+		return time.Time{}
 	}
+	return t.arrivedAt.Add(delay)
 }
 
-// lastProgress returns when an attempt last made progress, or zero.
-func (t *transfer) lastProgress() time.Time {
+// brokenAnswers returns how many answers did not arrive whole.
+func (t *transfers) brokenAnswers() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.progressAt
+	return t.broken
 }
 
 // end records that the call has its result.
-func (t *transfer) end() {
+func (t *transfers) end() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.ended = true
--- a/internal/edge/store/transfer_test.go
+++ b/internal/edge/store/transfer_test.go
@@ -31,7 +31,7 @@
 	number := s.reads.Add(1)
 	defer s.ended.Add(1)
 	for begin := time.Now(); time.Since(begin) < s.transfer; {
-		store.ReportProgress(ctx)
+		store.ReportArrival(ctx)
 		pause := transferPart
 		if number <= s.silentReads {
 			pause = time.Minute
@@ -76,3 +76,32 @@
 		Expect(time.Since(begin)).To(BeNumerically("~", 300*time.Millisecond, 150*time.Millisecond))
 	})
 })
+
+// losingStore carries out all changes and loses the answer to the first.
+type losingStore struct {
+	store.Store
+	changes atomic.Int32
+}
+
+func (s *losingStore) Transact(ctx context.Context, change store.Change) (store.Outcome, error) {
+	outcome, err := s.Store.Transact(ctx, change)
+	if s.changes.Add(1) == 1 {
+		<-ctx.Done()
+		return store.Outcome{}, errors.Mark(context.Cause(ctx), store.ErrUnanswered)
+	}
+	return outcome, err
+}
+
+var _ = Describe("a large change", func() {
+	// Guards against a leader that loses its row, since its batch counts as being sent
+	// while the answer is lost.
+	It("whose answer is lost is repeated soon", func() {
+		losing := &losingStore{Store: newServer().backend}
+		writer := store.NewFencedWriter(store.NewClient(losing, &metrc.NewEntry().Store), named("writer"), 0)
+		row := store.Row{Key: named("large"), Value: make([]byte, 60_000)}
+		begin := time.Now()
+		_, err := writer.Apply(context.Background(), store.Change{Put: []store.Row{row}}, numbered("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(begin)).To(BeNumerically("<", 400*time.Millisecond))
+	})
+})
--- a/internal/edge/store/writer.go
+++ b/internal/edge/store/writer.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -80,7 +82,8 @@
 			return Outcome{}, ErrFenced
 		}
 		var tried [][]byte
-		outcome, err := newHedgedCall(hedgeLatencyFactor*w.client.MeanLatency(), func() func(context.Context) (Outcome, error) {
+		delay := hedgeLatencyFactor*w.client.MeanLatency() + sendTime(change)
+		outcome, err := newHedgedCall(delay, func() func(context.Context) (Outcome, error) {
 			tried = append(tried, value())
 			fenced := w.withFenceRow(change, tried[len(tried)-1])
 			return func(attempt context.Context) (Outcome, error) { return w.client.Transact(attempt, fenced) }
@@ -101,6 +104,19 @@
 	}
 }
 
+// slowestLink is the bandwidth, in bytes a second, that a host has at least: 10 Mbit/s.
+const slowestLink = 1_250_000
+
+// sendTime returns how long it may take to send a change. It is not late before, and
+// a second attempt beside it would slow it down.
+func sendTime(change Change) time.Duration {
+	bytes := 0
+	for _, row := range change.Put {
+		bytes += base64.StdEncoding.EncodedLen(len(row.Value))
+	}
+	return time.Duration(bytes) * time.Second / slowestLink
+}
+
 // withFenceRow returns the change with the fence row added.
 func (w *FencedWriter) withFenceRow(change Change, value []byte) Change {
 	change.Expect = append(slices.Clone(change.Expect), Row{Key: w.key, Version: w.version})
