A run that the leader does not know counts until it is gone

Cause: a new leader stops the runs of jobs that have ended, and counted nothing for them, since their job is not in its plan. Their capacity was given away at once.

Change: such a run counts as its gang's tasks do while its job is known; else nothing is free on its worker until it is gone. The simulated workers may be unguarded, and record each start that brings them over their capacity; in the fault test all are in half of the cases.

Failed before, both tests: 'is not filled after a takeover while a cancelled job's run is being stopped': "367ms: { 0 0 0} attempt 1 brings worker-00 over its capacity {8 131072 64000}"; and TestPromisesUnderFaults after 142 cases, with the same message at 259ms. Now: TestPromises* with 500 cases each pass. 'is placed in bounded time after its deadline' failed once in the suite with this change; alone it fails in 1 of 40 runs on the code before it as well as on this one.

--- a/internal/core/plan/amount.go
+++ b/internal/core/plan/amount.go
@@ -21,6 +21,15 @@
 	}
 }
 
+// least returns the smaller amount of each resource.
+func least(a, b record.Amount) record.Amount {
+	return record.Amount{
+		MilliCores:   min(a.MilliCores, b.MilliCores),
+		MemoryMB:     min(a.MemoryMB, b.MemoryMB),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
 // fits reports whether need is at most free in every resource.
 func fits(need, free record.Amount) bool {
 	return need.MilliCores <= free.MilliCores &&
--- a/internal/core/plan/ends.go
+++ b/internal/core/plan/ends.go
@@ -56,11 +56,16 @@
 	m.confirmRun(now, r)
 }
 
-// stopUnknown stops a run that belongs to no known gang. Every place is stored
-// before its start is sent, so such a run is left over from a job that has
-// ended.
+// stopUnknown stops a run that belongs to no known attempt. Every place is stored
+// before its start is sent, so such a run is left over from a job or a gang that
+// has ended. What it needs counts until it is gone.
 func (m *Model) stopUnknown(now time.Time, w *worker, report RunReport) {
 	r := &run{task: report.Task, attempt: report.Attempt, worker: w, phase: running, sentAt: now, confirmedAt: now}
+	if g := m.gangOf(nil, report.Task); g != nil {
+		r.need = g.need()
+	} else {
+		r.needUnknown = true
+	}
 	m.addRun(r)
 	m.stopRun(now, r)
 }
--- a/internal/core/plan/fault_test.go
+++ b/internal/core/plan/fault_test.go
@@ -16,8 +16,9 @@
 )
 
 // TestPromisesUnderFaults runs jobs on workers that lose answers, carry out
-// requests late, are partitioned, crash and hang, while the store is unavailable
-// and leaders change. No task may run twice and no job may be lost.
+// requests late, are partitioned, crash and hang, while the store
+// is unavailable and leaders change. No task may run twice, no job may be lost and no
+// start may bring a worker over its capacity.
 func TestPromisesUnderFaults(t *testing.T) {
 	checkUnderFaults(t, 2*time.Second)
 }
@@ -34,6 +35,9 @@
 		w.answerLossRate = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "lost")
 		length := rapid.SampledFrom(work).Draw(t, "work")
 		w.work = func(plan.TaskID) time.Duration { return length }
+		if rapid.Bool().Draw(t, "unguarded") {
+			w.unguard()
+		}
 		w.delayRate = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "late")
 		w.fails = func(task plan.TaskID, _ string) bool {
 			return task.Job < "0000000000000004" && w.random.Float64() < 0.3
@@ -114,8 +118,8 @@
 	w.Crash(f)
 	entry := f.Entry
 	entry.StartedAt = w.now
-	w.Add(entry)
-	w.After(time.Second, func() { w.send(plan.WorkersMsg{Changed: []plan.Worker{entry}}) })
+	w.Add(entry).Unguarded = f.Unguarded
+	w.After(time.Second, func() { w.sendEntry(entry.ID) })
 }
 
 // removeWorker ends a worker for good if enough others are left.
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -33,6 +33,8 @@
 	gang   *gang
 	worker *worker
 	need   record.Amount
+	// needUnknown is set if the run may need as much as its worker has.
+	needUnknown bool
 
 	phase       runPhase
 	sentAt      time.Time
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -202,12 +202,19 @@
 	}
 }
 
-// recount computes the free capacity.
+// recount computes the free capacity. While the need of a run is not known,
+// nothing is free.
 func (w *worker) recount() {
-	w.free = sub(w.Capacity, w.reserved)
+	left := w.Capacity
+	needUnknown := false
 	for _, r := range w.runs {
-		w.free = sub(w.free, r.need)
+		left = sub(left, r.need)
+		needUnknown = needUnknown || r.needUnknown
 	}
+	if needUnknown {
+		left = least(left, record.Amount{})
+	}
+	w.free = sub(left, w.reserved)
 }
 
 // sortedRuns returns the runs in a fixed order.
--- a/internal/core/plan/world_test.go
+++ b/internal/core/plan/world_test.go
@@ -151,10 +151,25 @@
 	return w.Add(plan.Worker{
 		ID: id, StartedAt: w.now, Target: "hall", Domain: domain, Rack: rack, Labels: []string{"kind-a", rack},
 		Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port),
-		Capacity: record.Amount{MilliCores: 64000, MemoryMB: 131072, Accelerators: 8},
+		Capacity: fullCapacity,
 	})
 }
 
+// fullCapacity is the capacity of a worker unless it has changed.
+var fullCapacity = record.Amount{MilliCores: 64000, MemoryMB: 131072, Accelerators: 8}
+
+// sendEntry sends a worker's entry to the planners, as it is now.
+func (w *world) sendEntry(id string) {
+	w.send(plan.WorkersMsg{Changed: []plan.Worker{w.Worker(id).Entry}})
+}
+
+// unguard lets all workers start whatever they are told to.
+func (w *world) unguard() {
+	for _, id := range w.IDs() {
+		w.Worker(id).Unguarded = true
+	}
+}
+
 // replaceLeader ends all planners and adds one that reads what is stored.
 func (w *world) replaceLeader() {
 	for _, p := range w.planners {
@@ -236,7 +251,8 @@
 			noAnswer := plan.StartMsg{
 				Worker: cmd.Worker, Task: cmd.Task, Attempt: cmd.Attempt, Outcome: plan.Unanswered, SentAt: w.now,
 			}
-			w.deliver(p, func() plan.Msg { return w.Start(cmd) }, noAnswer, cmd.Worker, reply)
+			sentAt := w.now
+			w.deliver(p, func() plan.Msg { return w.StartLate(cmd, sentAt) }, noAnswer, cmd.Worker, reply)
 		case plan.StopCmd:
 			noAnswer := plan.StopMsg{Worker: cmd.Worker, Task: cmd.Task, Attempt: cmd.Attempt, SentAt: w.now}
 			w.deliver(p, func() plan.Msg { return w.Stop(cmd) }, noAnswer, cmd.Worker, reply)
--- a/internal/fakes/pool/pool.go
+++ b/internal/fakes/pool/pool.go
@@ -21,6 +21,8 @@
 	GangWait = 3 * time.Second
 	// leaseCheckInterval is the time between two checks for expired leases.
 	leaseCheckInterval = 20 * time.Millisecond
+	// defaultLimitGrace is three heartbeats of a worker.
+	defaultLimitGrace = 4500 * time.Millisecond
 )
 
 // Clock returns the time and schedules callbacks. Callbacks never overlap with
@@ -60,6 +62,10 @@
 	firstStart  map[string]time.Time
 	problems    []string
 	events      []string
+
+	// LimitGrace is how long after a worker's capacity has shrunk a start may still
+	// bring the worker over it.
+	LimitGrace time.Duration
 }
 
 // New returns a Pool without workers.
@@ -76,6 +82,7 @@
 		failures:    map[plan.TaskID]int{},
 		lastFailure: map[plan.TaskID]time.Time{},
 		firstStart:  map[string]time.Time{},
+		LimitGrace:  defaultLimitGrace,
 	}
 	p.expireLeases()
 	return p
--- a/internal/fakes/pool/worker.go
+++ b/internal/fakes/pool/worker.go
@@ -20,6 +20,9 @@
 	Slowdown float64
 	// PollDelay delays status polls on their way to the worker.
 	PollDelay time.Duration
+	// Unguarded workers start whatever they are told to, also beyond their
+	// capacity.
+	Unguarded bool
 
 	// fence is the highest epoch of a call so far; calls with a lower one are
 	// refused.
@@ -37,6 +40,8 @@
 	// leaseExpiredAt is when the lease was last found expired.
 	leaseExpiredAt time.Time
 	pendingPolls   []func()
+	// formerCapacities holds the capacities that the worker had before.
+	formerCapacities []formerCapacity
 }
 
 // run is one attempt to run a task. working reports whether it has begun to work,
@@ -87,8 +92,8 @@
 	return time.Duration(float64(normal) * w.Slowdown)
 }
 
-func (w *Worker) hasCapacity(need record.Amount) bool {
-	free := w.Entry.Capacity
+func (w *Worker) hasCapacity(need, capacity record.Amount) bool {
+	free := capacity
 	for _, r := range w.runs {
 		free.MilliCores -= r.need.MilliCores
 		free.MemoryMB -= r.need.MemoryMB
@@ -100,6 +105,12 @@
 // Start carries out a request to start a task. Repeating the request for a
 // running attempt has no effect.
 func (p *Pool) Start(cmd plan.StartCmd) plan.StartMsg {
+	return p.StartLate(cmd, p.clock.Now())
+}
+
+// StartLate does the same for a request that was sent earlier. Whether it brings
+// the worker over its capacity is judged as of then.
+func (p *Pool) StartLate(cmd plan.StartCmd, sentAt time.Time) plan.StartMsg {
 	w, now := p.workers[cmd.Worker], p.clock.Now()
 	msg := plan.StartMsg{
 		Worker: cmd.Worker, Task: cmd.Task, Attempt: cmd.Attempt, SentAt: now, Clock: now, Outcome: plan.Started,
@@ -129,11 +140,12 @@
 		msg.Outcome = plan.Invalid
 	case w.highestAttempt[cmd.Task] >= cmd.Attempt:
 		msg.Outcome = plan.Outdated
-	case !w.hasCapacity(job.Steps[cmd.Task.Step].Need):
+	case !w.Unguarded && !w.hasCapacity(job.Steps[cmd.Task.Step].Need, w.Entry.Capacity):
 		msg.Outcome = plan.NoCapacity
 	default:
 		p.RecordEvent("%s starts %v attempt %d", w.Entry.ID, cmd.Task, cmd.Attempt)
 		p.checkStart(cmd, job)
+		p.checkLimit(w, cmd, job.Steps[cmd.Task.Step], sentAt)
 		p.addRun(w, cmd, job.Steps[cmd.Task.Step])
 	}
 	return msg
