Nothing is placed on a worker that is over its capacity in any resource

What callers see: nothing yet; a task that needs no accelerator was placed on a worker whose accelerators had shrunk below their use, given up before its start, and placed there again, at each pass.

Cause: places were counted by the resources that the task needs, while an attempt is given up when its worker is over its capacity in any.

Change: a worker that is over its capacity in any resource has no place for anybody.

--- a/internal/core/plan/amount.go
+++ b/internal/core/plan/amount.go
@@ -37,6 +37,11 @@
 		need.Accelerators <= free.Accelerators
 }
 
+// exceeded reports whether what is left of a capacity is negative in a resource.
+func exceeded(left record.Amount) bool {
+	return !fits(record.Amount{}, left)
+}
+
 // fitCount returns how often need fits into free.
 func fitCount(need, free record.Amount) int {
 	n := 1 << 30
--- a/internal/core/plan/capacity_test.go
+++ b/internal/core/plan/capacity_test.go
@@ -171,4 +171,23 @@
 		Expect(w.Problems()).To(BeEmpty())
 		Expect(w.state(j.ID)).To(Equal(record.Completed))
 	})
+
+	// Guards against placing a task again and again on a worker that is over its
+	// capacity in a resource that the task doesn't need.
+	It("gets nothing while it is over its capacity in one resource", func() {
+		w := newUnguarded(1)
+		w.submit(taking(1, "long", whole))
+		w.run(200 * time.Millisecond)
+		capacity := fullCapacity
+		capacity.Accelerators = half
+		w.resize(only, capacity, 0)
+		w.run(10 * time.Millisecond)
+		plain := taking(2, "long", 0)
+		w.submit(plain)
+		w.run(time.Second)
+		Expect(placements(w, plain.ID)).To(BeZero())
+		w.run(4 * time.Second)
+		Expect(w.Problems()).To(BeEmpty())
+		Expect(w.state(plain.ID)).To(Equal(record.Completed))
+	})
 })
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -238,7 +238,11 @@
 		return 0
 	}
 	s := g.spec()
-	n := fitCount(s.Need, overlay.freeOn(w))
+	free := overlay.freeOn(w)
+	if exceeded(add(free, w.reserved)) {
+		return 0
+	}
+	n := fitCount(s.Need, free)
 	if s.SpreadLimit > 0 {
 		n = min(n, max(0, s.SpreadLimit-m.tasksOn(g, w)))
 	}
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -227,7 +227,7 @@
 // overCapacity reports whether the worker's runs exceed its capacity, which may
 // have shrunk since they were placed.
 func (w *worker) overCapacity() bool {
-	return !fits(record.Amount{}, add(w.free, w.reserved))
+	return exceeded(add(w.free, w.reserved))
 }
 
 // sortedRuns returns the runs in a fixed order.
