A reservation that its workers no longer hold is given up at once

What callers see: when a worker shrinks while places on it are reserved for an urgent gang, other urgent work that fits there waits for up to 3 s.

Cause: a reservation was given up only when a worker was lost or it timed out.

Change: it is also given up when what is reserved on a worker exceeds the worker's capacity.

Failed before: 'is used by others at once when it shrinks while places are reserved': the task that fits had not started after a second.

--- a/internal/core/plan/capacity_test.go
+++ b/internal/core/plan/capacity_test.go
@@ -190,4 +190,34 @@
 		Expect(w.Problems()).To(BeEmpty())
 		Expect(w.state(plain.ID)).To(Equal(record.Completed))
 	})
+
+	// Guards against a reservation that no longer fits and keeps the worker from
+	// work that does.
+	It("is used by others at once when it shrinks while places are reserved", func() {
+		w := newUnguarded(1)
+		victim := taking(1, "patient", whole)
+		w.submit(victim)
+		w.run(500 * time.Millisecond)
+		urgent := taking(2, "urgent", whole)
+		w.submit(urgent)
+		for range 200 {
+			if strings.Contains(strings.Join(w.Events(), "\n"), "preempted for "+urgent.ID) {
+				break
+			}
+			w.run(10 * time.Millisecond)
+		}
+		w.resize(only, capacityOf(half), 0)
+		small := taking(3, "urgent", half)
+		w.submit(small)
+		w.run(time.Second)
+		Expect(w.Problems()).To(BeEmpty())
+		Expect(w.Starts(plan.TaskID{Job: victim.ID})).To(Equal(1))
+		Expect(started(w, urgent.ID)).To(BeFalse())
+		Expect(started(w, small.ID)).To(BeTrue())
+		w.resize(only, fullCapacity, 0)
+		w.run(15 * time.Second)
+		Expect(w.Problems()).To(BeEmpty())
+		Expect(w.state(urgent.ID)).To(Equal(record.Completed))
+		Expect(w.state(victim.ID)).To(Equal(record.Completed))
+	})
 })
--- a/internal/core/plan/preempt.go
+++ b/internal/core/plan/preempt.go
@@ -280,8 +280,8 @@
 }
 
 // checkReserved places a gang whose reserved capacity has become free. It puts
-// the gang back into the queue if a worker is lost or the reservation times
-// out.
+// the gang back into the queue if a worker is lost or no longer holds what is
+// reserved there, or if the reservation times out.
 func (m *Model) checkReserved(now time.Time, g *gang) {
 	if m.placesFree(g) {
 		places := g.places
@@ -289,7 +289,7 @@
 		m.place(now, g, places)
 		return
 	}
-	lost := slices.ContainsFunc(g.places, func(w *worker) bool { return !m.usable(now, w) })
+	lost := slices.ContainsFunc(g.places, func(w *worker) bool { return !m.usable(now, w) || !fits(w.reserved, w.Capacity) })
 	if lost || now.After(g.deadline) {
 		m.unreserve(g)
 		m.enqueue(g)
