A claim on workers that no longer hold its gang is replaced

Cause: the claims of aged gangs are kept for as long as the gang waits, and were renewed only when a worker could get no new work at all.

Change: a claim is also replaced, or released if there is no other, when its workers could not hold the gang if they were empty.

Failed before: 'is not kept idle by a claim when it shrinks': the other job had not started after 5 s.

--- a/internal/core/plan/capacity_test.go
+++ b/internal/core/plan/capacity_test.go
@@ -220,4 +220,36 @@
 		Expect(w.state(urgent.ID)).To(Equal(record.Completed))
 		Expect(w.state(victim.ID)).To(Equal(record.Completed))
 	})
+
+	// Guards against a claim on workers that can no longer hold its gang, which kept
+	// them from all other work for ever.
+	It("is not kept idle by a claim when it shrinks", func() {
+		w := newUnguarded(2)
+		w.work = func(t plan.TaskID) time.Duration {
+			if t.Job == job(1, "", step(1, 1)).ID {
+				return time.Minute
+			}
+			return 2 * time.Second
+		}
+		w.submit(taking(1, "long", whole))
+		w.run(200 * time.Millisecond)
+		wide := job(2, "long", gangStep(2, whole))
+		w.submit(wide)
+		w.run(plan.OverdueAfter + 5*time.Second)
+		for _, id := range w.IDs() {
+			if w.Worker(id).Running() > 0 {
+				w.resize(id, capacityOf(half), 0)
+			}
+		}
+		other := taking(3, "long", whole)
+		w.submit(other)
+		w.run(5 * time.Second)
+		Expect(w.state(other.ID)).To(Equal(record.Completed))
+		for _, id := range w.IDs() {
+			w.resize(id, fullCapacity, 0)
+		}
+		w.run(time.Minute)
+		Expect(w.Problems()).To(BeEmpty())
+		Expect(w.state(wide.ID)).To(Equal(record.Completed))
+	})
 })
--- a/internal/core/plan/claim.go
+++ b/internal/core/plan/claim.go
@@ -133,7 +133,7 @@
 }
 
 // renewClaims releases claims that wait longer than expected, and replaces
-// those that have lost a worker.
+// those that have lost a worker or on which the gang no longer fits.
 func (m *Model) renewClaims(now time.Time) {
 	if m.claims == 0 {
 		return
@@ -144,7 +144,7 @@
 		}
 		age := g.claim.ageing
 		switch {
-		case slices.ContainsFunc(g.claim.workers, func(w *worker) bool { return !m.usable(now, w) }):
+		case m.claimBroken(now, g):
 			m.unclaim(g)
 			m.setClaim(now, g, age)
 		case age == young && now.After(g.claim.freeAt.Add(claimOverrun)):
@@ -153,6 +153,14 @@
 	}
 }
 
+// claimBroken reports whether a worker of the gang's claim may get no new work, or
+// whether the workers could no longer hold the gang if they were empty.
+func (m *Model) claimBroken(now time.Time, g *gang) bool {
+	workers := g.claim.workers
+	return slices.ContainsFunc(workers, func(w *worker) bool { return !m.usable(now, w) }) ||
+		m.slotsWhenEmpty(g, workers) < g.size
+}
+
 // workersToClaim returns the workers on which the gang will fit soonest if
 // nothing else is placed there, and when it will.
 func (m *Model) workersToClaim(now time.Time, g *gang) ([]*worker, time.Time) {
