The grace for a smaller capacity outlasts a restart of the worker

Cause: the simulated workers forgot with a restart what they had held before, so that a start shortly after a shrinkage and a crash was reported, though no planner can know of either yet.

With the events of the fault test narrowed to starts, crashes and changes of capacity (a trial) it came within seconds; there the start followed the shrinkage by 0.4 to 0.7 s and the crash by 0.3 s at most, with no entry or answer between.

Change: a new incarnation keeps the capacities that the former ones had, for the grace. A start later than that is reported as before.

--- a/internal/fakes/pool/pool.go
+++ b/internal/fakes/pool/pool.go
@@ -89,7 +89,7 @@
 }
 
 // Add adds a worker, or replaces it with a new incarnation with the same
-// identifier.
+// identifier. The grace for a smaller capacity holds for that one, too.
 func (p *Pool) Add(entry plan.Worker) *Worker {
 	w := &Worker{
 		Entry:          entry,
@@ -97,6 +97,9 @@
 		highestAttempt: map[plan.TaskID]int{},
 		endTimes:       map[int64]time.Time{},
 	}
+	if former := p.workers[entry.ID]; former != nil {
+		w.formerCapacities = append(former.formerCapacities, formerCapacity{former.Entry.Capacity, p.clock.Now()})
+	}
 	p.workers[entry.ID] = w
 	return w
 }
