A place is not started on a worker whose entry is lost meanwhile

What callers see: a start goes to a worker whose entry was removed, or can no longer be read, while the place was being stored; its capacity may be another by then.

Cause: once the places are stored, it was not looked at again whether their workers are listed.

Change: such an attempt is given up before its start.

--- a/internal/core/plan/capacity_test.go
+++ b/internal/core/plan/capacity_test.go
@@ -252,4 +252,23 @@
 		Expect(w.Problems()).To(BeEmpty())
 		Expect(w.state(wide.ID)).To(Equal(record.Completed))
 	})
+
+	// Guards against starting what was placed before the worker's entry could no longer
+	// be read, which may hide how much it holds now.
+	It("is not started on when its entry is lost while the place is being stored", func() {
+		w := newUnguarded(1)
+		w.storeDown = true
+		j := taking(1, "long", whole)
+		w.submit(j)
+		w.run(time.Second)
+		w.send(plan.WorkersMsg{Gone: []string{only}})
+		w.storeDown = false
+		w.run(5 * time.Second)
+		Expect(w.Problems()).To(BeEmpty())
+		Expect(started(w, j.ID)).To(BeFalse())
+		w.sendEntry(only)
+		w.run(5 * time.Second)
+		Expect(w.Problems()).To(BeEmpty())
+		Expect(w.state(j.ID)).To(Equal(record.Completed))
+	})
 })
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -109,11 +109,14 @@
 
 // hasUnstartableRun reports whether a run that has still to be started, or
 // started again, is on a draining worker, in a failure domain that is out of
-// service, or on a worker whose capacity no longer holds its runs.
+// service, or on a worker whose capacity no longer holds its runs, or whether one
+// that was never sent is on a worker that is no longer listed.
 func (m *Model) hasUnstartableRun(g *gang) bool {
 	return slices.ContainsFunc(g.runs, func(r *run) bool {
+		w := r.worker
 		toStart := r.phase == storing || r.phase == starting && r.mayHaveStarted
-		return toStart && (r.worker.Draining || m.outOfService[r.worker.Domain] || r.worker.overCapacity())
+		return toStart && (w.Draining || m.outOfService[w.Domain] || w.overCapacity()) ||
+			r.phase == storing && !w.listed
 	})
 }
 
