--- a/internal/core/plan/capacity_test.go
+++ b/internal/core/plan/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -272,3 +273,24 @@
 		Expect(w.state(j.ID)).To(Equal(record.Completed))
 	})
 })
+
+// TestShrunkWhileStoreAway guards against starting what was placed before the store
+// was away for longer than the grace for a smaller capacity: the place is stored as
+// soon as the store is back, and the worker's entry only with its next heartbeat.
+func TestShrunkWhileStoreAway(t *testing.T) {
+	const heartbeat = 1500 * time.Millisecond
+	w := newWorld(1, 1)
+	w.unguard()
+	w.run(100 * time.Millisecond)
+	w.storeDown = true
+	w.submit(job(1, "long", step(1, fullCapacity.Accelerators)))
+	w.run(time.Second)
+	const away = 8 * time.Second
+	w.resize(w.IDs()[0], capacityOf(fullCapacity.Accelerators/2), away+heartbeat)
+	w.run(away)
+	w.storeDown = false
+	w.run(5 * time.Second)
+	for _, p := range w.Problems() {
+		t.Error(p)
+	}
+}
