--- a/internal/core/plan/amount.go
+++ b/internal/core/plan/amount.go
@@ -21,6 +21,15 @@
 	}
 }
 
+// least returns the smaller amount of each resource.
+func least(a, b record.Amount) record.Amount {
+	return record.Amount{
+		MilliCores:   min(a.MilliCores, b.MilliCores),
+		MemoryMB:     min(a.MemoryMB, b.MemoryMB),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
 // fits reports whether need is at most free in every resource.
 func fits(need, free record.Amount) bool {
 	return need.MilliCores <= free.MilliCores &&
@@ -28,6 +37,11 @@
 		need.Accelerators <= free.Accelerators
 }
 
+// exceeded reports whether what is left of a capacity is negative in a resource.
+func exceeded(left record.Amount) bool {
+	return !fits(record.Amount{}, left)
+}
+
 // fitCount returns how often need fits into free.
 func fitCount(need, free record.Amount) int {
 	n := 1 << 30
--- a/internal/core/plan/fault_test.go
+++ b/internal/core/plan/fault_test.go
@@ -16,8 +16,9 @@
 )
 
 // TestPromisesUnderFaults runs jobs on workers that lose answers, carry out
-// requests late, are partitioned, crash and hang, while the store is unavailable
-// and leaders change. No task may run twice and no job may be lost.
+// requests late, are partitioned, crash and hang, and whose capacity shrinks and
+// grows, while the store is unavailable and leaders change. No task may run twice,
+// no job may be lost and no start may bring a worker over its capacity.
 func TestPromisesUnderFaults(t *testing.T) {
 	checkUnderFaults(t, 2*time.Second)
 }
@@ -34,6 +35,9 @@
 		w.answerLossRate = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "lost")
 		length := rapid.SampledFrom(work).Draw(t, "work")
 		w.work = func(plan.TaskID) time.Duration { return length }
+		if rapid.Bool().Draw(t, "unguarded") {
+			w.unguard()
+		}
 		w.delayRate = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "late")
 		w.fails = func(task plan.TaskID, _ string) bool {
 			return task.Job < "0000000000000004" && w.random.Float64() < 0.3
@@ -65,7 +69,7 @@
 // applyRandomEvent submits or cancels a job, or injects or ends a fault.
 func applyRandomEvent(t *rapid.T, w *world, number *int) {
 	f := w.Worker(fmt.Sprintf("worker-%02d", rapid.IntRange(0, 11).Draw(t, "worker")))
-	switch rapid.IntRange(0, 12).Draw(t, "what") {
+	switch rapid.IntRange(0, 13).Draw(t, "what") {
 	case 0, 1, 2, 3:
 		*number++
 		w.submit(randomJob(t, *number))
@@ -92,6 +96,10 @@
 	case 12:
 		w.partitioned[f.Entry.ID] = !w.partitioned[f.Entry.ID]
 		w.RecordEvent("%s reached by earlier leaders only: %v", f.Entry.ID, w.partitioned[f.Entry.ID])
+	case 13:
+		accelerators := rapid.IntRange(0, fullCapacity.Accelerators).Draw(t, "accelerators")
+		delay := time.Duration(rapid.IntRange(0, 2000).Draw(t, "entry delay")) * time.Millisecond
+		w.resize(f.Entry.ID, capacityOf(accelerators), delay)
 	}
 }
 
@@ -114,8 +122,8 @@
 	w.Crash(f)
 	entry := f.Entry
 	entry.StartedAt = w.now
-	w.Add(entry)
-	w.After(time.Second, func() { w.send(plan.WorkersMsg{Changed: []plan.Worker{entry}}) })
+	w.Add(entry).Unguarded = f.Unguarded
+	w.After(time.Second, func() { w.sendEntry(entry.ID) })
 }
 
 // removeWorker ends a worker for good if enough others are left.
@@ -142,6 +150,7 @@
 		if f.Hung && !f.Dead {
 			w.crash(f)
 		}
+		w.resize(id, fullCapacity, 0)
 	}
 	w.fails = func(plan.TaskID, string) bool { return false }
 }
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -169,6 +169,13 @@
 	m.reportDecision(WorkerLost, nil, w, "worker restarted")
 }
 
+// clearCapacity makes the worker's capacity unknown until its entry is read. A new
+// incarnation may be of another kind.
+func (w *worker) clearCapacity() {
+	w.Capacity = record.Amount{}
+	w.recount()
+}
+
 // workerReplaced handles that another worker answers at the address: no run of
 // this one is left.
 func (m *Model) workerReplaced(now time.Time, w *worker) {
@@ -202,12 +209,25 @@
 	}
 }
 
-// recount computes the free capacity.
+// recount computes the free capacity. While the need of a run is not known,
+// nothing is free.
 func (w *worker) recount() {
-	w.free = sub(w.Capacity, w.reserved)
+	left := w.Capacity
+	needUnknown := false
 	for _, r := range w.runs {
-		w.free = sub(w.free, r.need)
+		left = sub(left, r.need)
+		needUnknown = needUnknown || r.needUnknown
+	}
+	if needUnknown {
+		left = least(left, record.Amount{})
 	}
+	w.free = sub(left, w.reserved)
+}
+
+// overCapacity reports whether the worker's runs exceed its capacity, which may
+// have shrunk since they were placed.
+func (w *worker) overCapacity() bool {
+	return exceeded(add(w.free, w.reserved))
 }
 
 // sortedRuns returns the runs in a fixed order.
--- a/internal/core/plan/world_test.go
+++ b/internal/core/plan/world_test.go
@@ -151,10 +151,45 @@
 	return w.Add(plan.Worker{
 		ID: id, StartedAt: w.now, Target: "hall", Domain: domain, Rack: rack, Labels: []string{"kind-a", rack},
 		Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port),
-		Capacity: record.Amount{MilliCores: 64000, MemoryMB: 131072, Accelerators: 8},
+		Capacity: fullCapacity,
 	})
 }
 
+// fullCapacity is the capacity of a worker unless it has changed.
+var fullCapacity = record.Amount{MilliCores: 64000, MemoryMB: 131072, Accelerators: 8}
+
+// capacityOf returns the part of the full capacity that goes with a number of
+// accelerators.
+func capacityOf(accelerators int) record.Amount {
+	return record.Amount{
+		MilliCores:   fullCapacity.MilliCores * accelerators / fullCapacity.Accelerators,
+		MemoryMB:     fullCapacity.MemoryMB * accelerators / fullCapacity.Accelerators,
+		Accelerators: accelerators,
+	}
+}
+
+// resize changes a worker's capacity; the planners learn of it after the delay.
+func (w *world) resize(id string, capacity record.Amount, delay time.Duration) {
+	w.SetCapacity(w.Worker(id), capacity)
+	w.After(delay, func() {
+		if !w.Worker(id).Dead {
+			w.sendEntry(id)
+		}
+	})
+}
+
+// sendEntry sends a worker's entry to the planners, as it is now.
+func (w *world) sendEntry(id string) {
+	w.send(plan.WorkersMsg{Changed: []plan.Worker{w.Worker(id).Entry}})
+}
+
+// unguard lets all workers start whatever they are told to.
+func (w *world) unguard() {
+	for _, id := range w.IDs() {
+		w.Worker(id).Unguarded = true
+	}
+}
+
 // replaceLeader ends all planners and adds one that reads what is stored.
 func (w *world) replaceLeader() {
 	for _, p := range w.planners {
@@ -236,7 +271,8 @@
 			noAnswer := plan.StartMsg{
 				Worker: cmd.Worker, Task: cmd.Task, Attempt: cmd.Attempt, Outcome: plan.Unanswered, SentAt: w.now,
 			}
-			w.deliver(p, func() plan.Msg { return w.Start(cmd) }, noAnswer, cmd.Worker, reply)
+			sentAt := w.now
+			w.deliver(p, func() plan.Msg { return w.StartLate(cmd, sentAt) }, noAnswer, cmd.Worker, reply)
 		case plan.StopCmd:
 			noAnswer := plan.StopMsg{Worker: cmd.Worker, Task: cmd.Task, Attempt: cmd.Attempt, SentAt: w.now}
 			w.deliver(p, func() plan.Msg { return w.Stop(cmd) }, noAnswer, cmd.Worker, reply)
--- a/internal/fakes/pool/pool.go
+++ b/internal/fakes/pool/pool.go
@@ -21,6 +21,8 @@
 	GangWait = 3 * time.Second
 	// leaseCheckInterval is the time between two checks for expired leases.
 	leaseCheckInterval = 20 * time.Millisecond
+	// defaultLimitGrace is three heartbeats of a worker.
+	defaultLimitGrace = 4500 * time.Millisecond
 )
 
 // Clock returns the time and schedules callbacks. Callbacks never overlap with
@@ -60,6 +62,10 @@
 	firstStart  map[string]time.Time
 	problems    []string
 	events      []string
+
+	// LimitGrace is how long after a worker's capacity has shrunk a start may still
+	// bring the worker over it.
+	LimitGrace time.Duration
 }
 
 // New returns a Pool without workers.
@@ -76,13 +82,14 @@
 		failures:    map[plan.TaskID]int{},
 		lastFailure: map[plan.TaskID]time.Time{},
 		firstStart:  map[string]time.Time{},
+		LimitGrace:  defaultLimitGrace,
 	}
 	p.expireLeases()
 	return p
 }
 
 // Add adds a worker, or replaces it with a new incarnation with the same
-// identifier.
+// identifier. The grace for a smaller capacity holds for that one, too.
 func (p *Pool) Add(entry plan.Worker) *Worker {
 	w := &Worker{
 		Entry:          entry,
@@ -90,6 +97,9 @@
 		highestAttempt: map[plan.TaskID]int{},
 		endTimes:       map[int64]time.Time{},
 	}
+	if former := p.workers[entry.ID]; former != nil {
+		w.formerCapacities = append(former.formerCapacities, formerCapacity{former.Entry.Capacity, p.clock.Now()})
+	}
 	p.workers[entry.ID] = w
 	return w
 }
