A leader that was paused renews no lease before it is sure to lead

A leader whose process stood still for some seconds (its machine suspended, its processor taken away) went on at once with what it had in hand: it renewed the leases of workers, and started stored placements, before the store told it that another host had taken over. The successor waits for every lease that a worker it cannot reach may hold, and allows 2 s for the earlier leader to find out. After a pause of 4 to 5 s that wait is over before the renewed lease is: the same task could run twice, on a worker that only the earlier leader reaches and on another.

Change: the planner's clock notices a pause of more than those 2 s. Until a change that was sent after it is stored, starts count as unanswered, so that they are repeated, and polls renew nothing and are answered soon. While the store is away but the process runs, leases are renewed as before. A pause without a successor ends no task ('goes on when no other host has taken over', a task of 6 s with a lease of 5 s). Logged as leader-paused.

--- a/internal/edge/fleet/host_test.go
+++ b/internal/edge/fleet/host_test.go
@@ -43,16 +43,23 @@
 // startHostWithStore starts a host that reaches the store at an address of its own
 // and accepts keys for keyAge after the configuration was last confirmed.
 func startHostWithStore(address netip.AddrPort, name string, keyAge time.Duration) *testHost {
+	steady := clock.New()
+	return startHostWithClock(address, name, keyAge, steady.Now, platform.NewWorkers(steady.Now))
+}
+
+// startHostWithClock starts a host that tells the time by the given clock and calls
+// workers as given.
+func startHostWithClock(address netip.AddrPort, name string, keyAge time.Duration, now func() time.Time, workers fleet.Workers) *testHost {
 	settings := setng.DefaultFleet()
 	settings.Host = setng.Host{ID: name, Domain: "hall-a"}
 	settings.Listen = setng.FleetListen{Callers: freePort(), Ready: freePort(), Peers: freePort()}
 	settings.Store = address
 	settings.Timing.DrainNotice = 50 * time.Millisecond
 	settings.Timing.KeyAge = keyAge
-	log, meter, steady := zerolog.Nop(), metrc.NewFleet(), clock.New()
+	log, meter := zerolog.Nop(), metrc.NewFleet()
 	stores := fleet.NewStores(platform.NewStore(settings.Store, settings.Host.ID), &log, &meter.Store)
-	host := fleet.New(settings, &log, meter, steady.Now, stores, platform.NewWorkers(steady.Now), platform.NewDirectory(stores.Relayed))
-	ingress := platform.NewIngress(host.Frontend(), steady.Now)
+	host := fleet.New(settings, &log, meter, now, stores, workers, platform.NewDirectory(stores.Relayed))
+	ingress := platform.NewIngress(host.Frontend(), now)
 	ctx, stop := context.WithCancel(context.Background())
 	h := &testHost{callers: settings.Listen.Callers, stop: stop, done: make(chan struct{})}
 	go func() {
--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -24,6 +24,7 @@
 	cancel     context.CancelCauseFunc
 	writes     chan plan.WriteCmd
 	writerDone chan struct{}
+	guard      pauseGuard
 }
 
 func newSession(h *Host, epoch int64, writer *store.FencedWriter) *session {
@@ -35,7 +36,7 @@
 		writerDone: make(chan struct{}),
 	}
 	model := plan.New(h.clock(), epoch, h.timing())
-	s.runner = runner.New(model, s.execute, h.clock, plan.Msg(plan.TickMsg{}))
+	s.runner = runner.New(model, s.execute, s.now, plan.Msg(plan.TickMsg{}))
 	return s
 }
 
@@ -63,10 +64,15 @@
 func (s *session) execute(ctx context.Context, cmd plan.Cmd) {
 	switch cmd := cmd.(type) {
 	case plan.StartCmd:
+		if !s.guard.sure() {
+			s.runner.Send(unsentStart(cmd, s.host.clock()))
+			return
+		}
 		go func() { s.runner.Send(s.host.workers.Start(ctx, cmd)) }()
 	case plan.StopCmd:
 		go func() { s.runner.Send(s.host.workers.Stop(ctx, cmd)) }()
 	case plan.PollCmd:
+		cmd = s.withoutLease(cmd)
 		go func() { s.runner.Send(s.host.workers.Poll(ctx, cmd)) }()
 	case plan.WriteCmd:
 		s.writes <- cmd
@@ -87,10 +93,12 @@
 		case <-ctx.Done():
 			return
 		case cmd := <-s.writes:
+			sentAt := s.host.clock()
 			if err := s.commitBatch(ctx, cmd); err != nil {
 				s.cancel(err)
 				return
 			}
+			s.guard.confirm(sentAt)
 			s.runner.Send(plan.WrittenMsg{Batch: cmd.Batch})
 		}
 	}
--- a/internal/ops/logev/logev.go
+++ b/internal/ops/logev/logev.go
@@ -41,6 +41,7 @@
 	RowSkipped      Event = 154
 	TakeoverFailed  Event = 155
 	FeedLost        Event = 156
+	LeaderPaused    Event = 157
 	ConfigInForce   Event = 140
 	ConfigAccepted  Event = 141
 	ConfigRefused   Event = 142
@@ -107,6 +108,7 @@
 	{PlanLoaded, "plan-loaded", zerolog.InfoLevel, "The leader has read the rows that earlier leaders wrote."},
 	{TakeoverFailed, "takeover-failed", zerolog.InfoLevel, "The leader's row could not be written; another host may have written it first."},
 	{FeedLost, "feed-lost", zerolog.WarnLevel, "A read of changes that the leader follows got no answer; it is retried until it gets one."},
+	{LeaderPaused, "leader-paused", zerolog.WarnLevel, "The leader's process stood still for so long that another host may lead; it starts nothing and renews no lease until it has stored a change."},
 	{RowSkipped, "row-skipped", zerolog.WarnLevel, "A row of the store cannot be read; it is skipped and not changed."},
 	{ConfigInForce, "config-in-force", zerolog.InfoLevel, "Decisions follow this configuration version from now on."},
 	{ConfigAccepted, "config-accepted", zerolog.InfoLevel, "An operator's change was committed as this version."},
