Hosts keep to the store's clock when theirs runs faster

A host whose clock runs faster than the store's found the leader's renewals ever longer ago and took the leadership over each time it read the row, from a leader at work: with 2 % after 37 s of uptime, with 0.01 % after two hours. Two such hosts would take it from each other all the time. Nothing would be started twice, as every term is fenced, but each takeover reads all rows and polls all workers again.

Cause: a reading of the store's clock was taken only if it was ahead of the client's own estimate, which so never slowed down.

Evidence, before: TestClockFollowsStore 'with a store's clock at 0.98 of ours, its reading is 19.8 ms off' after 1 s, and 199.6 ms at 0.80.

Change: the store's clock had the value of an answer at some time during the call, so the estimate is brought back to the latest value that this allows. After 1 s it is less than 15 ms off at 0.80, 0.98 and 1.20.

--- a/internal/edge/store/client.go
+++ b/internal/edge/store/client.go
@@ -53,9 +53,9 @@
 	receivedAt time.Time
 }
 
-// Clock returns the store's monotonic clock, which is the same for all hosts. It
-// lags by the network delay of the answer it was read from. It is zero before the
-// first answer.
+// Clock returns the store's monotonic clock, which is the same for all hosts. It is
+// off by no more than the round trip of an answer and what the two clocks drift apart
+// until the next one. It is zero before the first answer.
 func (c *Client) Clock() time.Time {
 	r := c.lastClock.Load()
 	if r == nil {
@@ -64,11 +64,21 @@
 	return r.storeTime.Add(time.Since(r.receivedAt))
 }
 
-// observeClock records the store's clock from an answer. Answers may arrive out
-// of order, so an older reading is ignored.
-func (c *Client) observeClock(clock time.Time) {
-	if clock.After(c.Clock()) {
-		c.lastClock.Store(&clockReading{storeTime: clock, receivedAt: time.Now()})
+// observeClock records the store's clock from the answer to a call that was sent at
+// begin. The clock had that value at some time during the call, so a reading that is
+// in between stays as it is: answers may arrive late and out of order. A call that has
+// failed has no reading.
+func (c *Client) observeClock(begin, clock time.Time) {
+	if clock.UnixMilli() <= 0 {
+		return
+	}
+	now := time.Now()
+	latest := clock.Add(now.Sub(begin))
+	switch known := c.Clock(); {
+	case clock.After(known):
+		c.lastClock.Store(&clockReading{storeTime: clock, receivedAt: now})
+	case known.After(latest):
+		c.lastClock.Store(&clockReading{storeTime: latest, receivedAt: now})
 	}
 }
 
@@ -95,7 +105,7 @@
 	c.meter.RowsWritten.Add(len(change.Put) + len(change.Remove))
 	begin := time.Now()
 	outcome, err := c.backend.Transact(ctx, change)
-	c.observeClock(outcome.Clock)
+	c.observeClock(begin, outcome.Clock)
 	c.observeCall(begin, 0, err)
 	return outcome, err
 }
@@ -105,7 +115,7 @@
 	c.meter.Reads.Inc()
 	begin := time.Now()
 	rows, err := c.backend.Range(ctx, span, limit)
-	c.observeClock(rows.Clock)
+	c.observeClock(begin, rows.Clock)
 	c.observeCall(begin, 0, err)
 	return rows, err
 }
@@ -115,7 +125,7 @@
 	c.meter.Reads.Inc()
 	begin := time.Now()
 	rows, err := c.backend.Changes(ctx, table, after, wait)
-	c.observeClock(rows.Clock)
+	c.observeClock(begin, rows.Clock)
 	c.observeCall(begin, wait, err)
 	return rows, err
 }
