Two soaks at the same time keep to ports of their own

The soak failed while another one ran on the same machine: 'X is reported as completed although {X 0 0 0} is not done' for many jobs, 'accepted but no longer exists'. Both used the ports that follow from the seed, so that hosts of one answered callers of the other.

Change: each run holds a port of a range and uses the rest.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,9 +3,11 @@
 import (
 	"flag"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -19,13 +21,32 @@
 	keepDir       = flag.String("soak-keep", "", "folder to keep logs in")
 )
 
-// firstPort is the first port that hosts use. Each seed has its own range, so
-// that runs of different seeds can run at the same time.
+// firstPort is the first port that hosts use. Each run has its own range of ports,
+// so that several can run at the same time, also of the same seed.
 const (
-	firstPort    = 21000
-	portsPerSeed = 30
+	firstPort   = 21000
+	portRanges  = 100
+	portsPerRun = 30
 )
 
+// reservePorts returns the first port of a range that no other run uses. A run keeps
+// the last port of its range open; hosts use the others.
+func reservePorts(t *testing.T, seed uint64) uint16 {
+	t.Helper()
+	for i := range uint64(portRanges) {
+		first := uint16(firstPort + (seed+i)%portRanges*portsPerRun)
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(int(first)+portsPerRun-1))
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", address)
+		if err != nil {
+			continue
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		return first
+	}
+	t.Fatal("no range of ports is free")
+	return 0
+}
+
 // TestSoak injects random faults into real processes, seed by seed.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "rattanshore")
@@ -42,7 +63,7 @@
 func runSeed(t *testing.T, binary string, seed uint64) {
 	report, err := soak.Run(t.Context(), soak.Options{
 		Seed: seed, Binary: binary, Dir: logDir(t), Hosts: 3, Workers: 12, Faults: *faultDuration,
-		SettleTimeout: 40 * time.Second, FirstPort: uint16(firstPort + seed%100*portsPerSeed),
+		SettleTimeout: 40 * time.Second, FirstPort: reservePorts(t, seed),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -58,8 +79,7 @@
 	}
 }
 
-// regressionSeeds are seeds that failed once. Two concurrent runs must not use
-// seeds with the same last two digits, which select the ports.
+// regressionSeeds are seeds that failed once.
 //
 //   - 1, which the default run includes: a start got no answer, and its repeat was
 //     refused because the task had already run and ended. The gang's attempt number
