--- a/internal/core/plan/fault_test.go
+++ b/internal/core/plan/fault_test.go
@@ -28,7 +28,18 @@
 	checkUnderFaults(t, 300*time.Millisecond, 700*time.Millisecond)
 }
 
+// TestPromisesWithDeadlyTasks does the same while some tasks crash each worker that
+// starts them.
+func TestPromisesWithDeadlyTasks(t *testing.T) {
+	checkEvents(t, len(randomEvents), 2*time.Second, 300*time.Millisecond)
+}
+
 func checkUnderFaults(t *testing.T, work ...time.Duration) {
+	checkEvents(t, firstDeadlyEvent, work...)
+}
+
+// checkEvents checks the promises under the first of the random events.
+func checkEvents(t *testing.T, kinds int, work ...time.Duration) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), 12)
 		w.answerLossRate = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "lost")
@@ -41,7 +52,7 @@
 		w.run(200 * time.Millisecond)
 		number := 0
 		for range rapid.IntRange(4, 25).Draw(t, "events") {
-			applyRandomEvent(t, w, &number)
+			applyRandomEvent(t, w, kinds, &number)
 			w.run(time.Duration(rapid.IntRange(10, 2500).Draw(t, "pause")) * time.Millisecond)
 		}
 		heal(w)
@@ -62,37 +73,58 @@
 	})
 }
 
-// applyRandomEvent submits or cancels a job, or injects or ends a fault.
-func applyRandomEvent(t *rapid.T, w *world, number *int) {
-	f := w.Worker(fmt.Sprintf("worker-%02d", rapid.IntRange(0, 11).Draw(t, "worker")))
-	switch rapid.IntRange(0, 12).Draw(t, "what") {
-	case 0, 1, 2, 3:
-		*number++
-		w.submit(randomJob(t, *number))
-	case 4:
+// randomEvents lists what may happen. Events before firstDeadlyEvent leave every
+// task harmless to its worker.
+var randomEvents = []func(t *rapid.T, w *world, f *pool.Worker, number *int){
+	submitRandom, submitRandom, submitRandom, submitRandom,
+	func(t *rapid.T, w *world, _ *pool.Worker, number *int) {
 		if *number > 0 {
 			w.cancel(fmt.Sprintf("%016x", rapid.IntRange(1, *number).Draw(t, "job")))
 		}
-	case 5:
+	},
+	func(_ *rapid.T, w *world, f *pool.Worker, _ *int) {
 		f.Unreachable = !f.Unreachable
 		w.RecordEvent("%s unreachable: %v", f.Entry.ID, f.Unreachable)
-	case 6:
-		w.crash(f)
-	case 7:
-		w.replaceLeader()
-	case 8:
-		w.storeDown = !w.storeDown
-	case 9:
+	},
+	func(_ *rapid.T, w *world, f *pool.Worker, _ *int) { w.crash(f) },
+	func(_ *rapid.T, w *world, _ *pool.Worker, _ *int) { w.replaceLeader() },
+	func(_ *rapid.T, w *world, _ *pool.Worker, _ *int) { w.storeDown = !w.storeDown },
+	func(_ *rapid.T, w *world, f *pool.Worker, _ *int) {
 		f.Hung = true
 		w.RecordEvent("%s hangs", f.Entry.ID)
-	case 10:
-		w.removeWorker(f)
-	case 11:
-		w.addLeader()
-	case 12:
+	},
+	func(_ *rapid.T, w *world, f *pool.Worker, _ *int) { w.removeWorker(f) },
+	func(_ *rapid.T, w *world, _ *pool.Worker, _ *int) { w.addLeader() },
+	func(_ *rapid.T, w *world, f *pool.Worker, _ *int) {
 		w.partitioned[f.Entry.ID] = !w.partitioned[f.Entry.ID]
 		w.RecordEvent("%s reached by earlier leaders only: %v", f.Entry.ID, w.partitioned[f.Entry.ID])
-	}
+	},
+	submitDeadly, submitDeadly,
+	func(_ *rapid.T, w *world, f *pool.Worker, _ *int) { w.crashForSeconds(f) },
+}
+
+// firstDeadlyEvent is the number of the first event with tasks that crash workers.
+const firstDeadlyEvent = 13
+
+// applyRandomEvent submits or cancels a job, or injects or ends a fault.
+func applyRandomEvent(t *rapid.T, w *world, kinds int, number *int) {
+	f := w.Worker(fmt.Sprintf("worker-%02d", rapid.IntRange(0, 11).Draw(t, "worker")))
+	randomEvents[rapid.IntRange(0, kinds-1).Draw(t, "what")](t, w, f, number)
+}
+
+func submitRandom(t *rapid.T, w *world, _ *pool.Worker, number *int) {
+	*number++
+	w.submit(randomJob(t, *number))
+}
+
+// submitDeadly submits a job of which one task crashes each worker that starts it.
+func submitDeadly(t *rapid.T, w *world, _ *pool.Worker, number *int) {
+	*number++
+	j := randomJob(t, *number)
+	task := plan.TaskID{Job: j.ID, Index: rapid.IntRange(0, j.Steps[0].Tasks-1).Draw(t, "deadly")}
+	w.deadly[task] = true
+	w.newName = func() bool { return w.random.IntN(2) == 0 }
+	w.submit(j)
 }
 
 func randomJob(t *rapid.T, number int) record.Job {
@@ -111,6 +143,9 @@
 
 // crash ends a worker and starts a new incarnation of it.
 func (w *world) crash(f *pool.Worker) {
+	if f.Replaced {
+		return
+	}
 	w.Crash(f)
 	entry := f.Entry
 	entry.StartedAt = w.now
@@ -145,3 +180,27 @@
 	}
 	w.fails = func(plan.TaskID, string) bool { return false }
 }
+
+// crashForSeconds ends a worker. It is back after downTime, under its identifier or
+// under another one at the same address.
+func (w *world) crashForSeconds(f *pool.Worker) {
+	if f.Dead {
+		return
+	}
+	w.Crash(f)
+	w.After(downTime, func() {
+		if w.Worker(f.Entry.ID) != f {
+			return
+		}
+		entry := f.Entry
+		entry.StartedAt = w.now
+		var gone []string
+		if w.newName() {
+			f.Replaced = true
+			gone = []string{entry.ID}
+			entry.ID = fmt.Sprintf("%s-%d", entry.ID, w.serial)
+		}
+		w.Add(entry)
+		w.After(listDelay, func() { w.send(plan.WorkersMsg{Changed: []plan.Worker{entry}, Gone: gone}) })
+	})
+}
--- a/internal/core/plan/world_test.go
+++ b/internal/core/plan/world_test.go
@@ -21,6 +21,12 @@
 	callDelay   = time.Millisecond
 	writeDelay  = 8 * time.Millisecond
 	callTimeout = 900 * time.Millisecond
+	// crashDelay is how long after its start a deadly task crashes its worker, and
+	// downTime how long the worker is then away.
+	crashDelay = 10 * time.Millisecond
+	downTime   = 3300 * time.Millisecond
+	// listDelay is how long it takes until the planners are told of a worker.
+	listDelay = time.Second
 )
 
 var origin = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
@@ -50,6 +56,10 @@
 	// answerLossRate is the probability that a worker's answer is lost,
 	// delayRate the probability that a request is carried out seconds late.
 	answerLossRate, delayRate float64
+	// deadly holds the tasks that crash the worker that starts them, and newName
+	// reports whether a crashed worker comes back under another identifier.
+	deadly  map[plan.TaskID]bool
+	newName func() bool
 	// work returns how long a task takes.
 	work func(plan.TaskID) time.Duration
 	// fails reports whether a task ends in failure.
@@ -93,6 +103,8 @@
 		cancelled:   map[string]bool{},
 		rosters:     map[int]record.Roster{},
 		partitioned: map[string]bool{},
+		deadly:      map[plan.TaskID]bool{},
+		newName:     func() bool { return false },
 		work:        func(plan.TaskID) time.Duration { return 2 * time.Second },
 		fails:       func(plan.TaskID, string) bool { return false },
 		config: rules.Config{
@@ -106,6 +118,11 @@
 		},
 	}
 	w.Pool = pool.New(w, w)
+	w.OnStart = func(f *pool.Worker, t plan.TaskID) {
+		if w.deadly[t] {
+			w.After(crashDelay, func() { w.crashForSeconds(f) })
+		}
+	}
 	for i := range workers {
 		w.addWorker(fmt.Sprintf("worker-%02d", i), fmt.Sprintf("domain-%d", i/6%4), fmt.Sprintf("rack-%d", i/6))
 	}
@@ -280,7 +297,7 @@
 
 // reaches reports whether a leader's calls reach a worker.
 func (w *world) reaches(p *planner, f *pool.Worker) bool {
-	return !f.Unreachable && !f.Dead && (!w.partitioned[f.Entry.ID] || p.epoch < w.epoch)
+	return !f.Unreachable && (!f.Dead || f.Replaced) && (!w.partitioned[f.Entry.ID] || p.epoch < w.epoch)
 }
 
 func (w *world) poll(p *planner, cmd plan.PollCmd, reply func(plan.Msg)) {
@@ -344,8 +361,12 @@
 		}
 	case record.Queued, record.Running, "":
 	}
-	if p.State == record.Completed {
+	switch p.State {
+	case record.Completed:
 		w.CheckCompleted(p.ID)
+	case record.Failed:
+		w.CheckFailed(p.ID)
+	case record.Cancelled, record.Queued, record.Running:
 	}
 }
 
--- a/internal/fakes/pool/pool.go
+++ b/internal/fakes/pool/pool.go
@@ -19,6 +19,8 @@
 	StopDelay = 400 * time.Millisecond
 	// GangWait is how long the members of a gang wait for each other.
 	GangWait = 3 * time.Second
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease = 6 * time.Second
 	// leaseCheckInterval is the time between two checks for expired leases.
 	leaseCheckInterval = 20 * time.Millisecond
 )
@@ -44,6 +46,10 @@
 
 // Pool is the set of simulated workers.
 type Pool struct {
+	// OnStart is called after each start of a task, if it is set. It may crash the
+	// worker.
+	OnStart func(w *Worker, task plan.TaskID)
+
 	clock     Clock
 	workload  Workload
 	startedAt time.Time
@@ -58,8 +64,11 @@
 	failures    map[plan.TaskID]int
 	lastFailure map[plan.TaskID]time.Time
 	firstStart  map[string]time.Time
-	problems    []string
-	events      []string
+	// failedRuns counts the runs that ended in failure, acknowledged or not.
+	failedRuns map[plan.TaskID]int
+	crashes    crashCounts
+	problems   []string
+	events     []string
 }
 
 // New returns a Pool without workers.
@@ -76,6 +85,8 @@
 		failures:    map[plan.TaskID]int{},
 		lastFailure: map[plan.TaskID]time.Time{},
 		firstStart:  map[string]time.Time{},
+		failedRuns:  map[plan.TaskID]int{},
+		crashes:     newCrashCounts(),
 	}
 	p.expireLeases()
 	return p
@@ -124,6 +135,7 @@
 	p.RecordEvent("%s crashes", w.Entry.ID)
 	w.Dead = true
 	for _, r := range w.sortedRuns() {
+		p.crashes.under[r.task]++
 		p.endGangMembers(r, plan.EndMemberEnded)
 	}
 }
@@ -208,7 +220,7 @@
 	now := p.clock.Now()
 	for _, id := range p.IDs() {
 		w := p.workers[id]
-		if w.Dead || w.lease.After(now) {
+		if w.Dead || w.lease.After(p.clockOf(w)) {
 			continue
 		}
 		w.leaseExpiredAt = now
--- a/internal/fakes/pool/worker.go
+++ b/internal/fakes/pool/worker.go
@@ -16,6 +16,9 @@
 	// A worker that is Unreachable answers no call, a Dead one has crashed, and
 	// one that is Hung makes no progress.
 	Unreachable, Dead, Hung bool
+	// Replaced is set when another worker answers at the address of this one, which
+	// is dead.
+	Replaced bool
 	// Slowdown is the factor by which work takes longer; 0 means normal speed.
 	Slowdown float64
 	// PollDelay delays status polls on their way to the worker.
@@ -24,7 +27,7 @@
 	// fence is the highest epoch of a call so far; calls with a lower one are
 	// refused.
 	fence int64
-	// lease is when the worker's lease expires.
+	// lease is when the worker's lease expires, by the worker's clock.
 	lease          time.Time
 	runs           map[plan.TaskID]*run
 	highestAttempt map[plan.TaskID]int
@@ -102,23 +105,23 @@
 func (p *Pool) Start(cmd plan.StartCmd) plan.StartMsg {
 	w, now := p.workers[cmd.Worker], p.clock.Now()
 	msg := plan.StartMsg{
-		Worker: cmd.Worker, Task: cmd.Task, Attempt: cmd.Attempt, SentAt: now, Clock: now, Outcome: plan.Started,
+		Worker: cmd.Worker, Task: cmd.Task, Attempt: cmd.Attempt, SentAt: now, Clock: p.clockOf(w), Outcome: plan.Started,
 	}
 	switch {
+	case w.Replaced:
+		msg.Outcome = plan.Replaced
 	case w.Dead:
 		msg.Outcome = plan.Unanswered
 	case cmd.Epoch < w.fence:
 		msg.Outcome = plan.Fenced
-	case !cmd.LeaseUntil.After(now):
+	case !cmd.LeaseUntil.After(msg.Clock):
 		msg.Outcome = plan.Expired
 	}
 	if msg.Outcome != plan.Started {
 		return msg
 	}
 	w.fence = cmd.Epoch
-	if cmd.LeaseUntil.After(w.lease) {
-		w.lease = cmd.LeaseUntil
-	}
+	p.extendLease(w, cmd.LeaseUntil)
 	if r := w.runs[cmd.Task]; r != nil && r.attempt == cmd.Attempt {
 		return msg
 	}
@@ -135,6 +138,9 @@
 		p.RecordEvent("%s starts %v attempt %d", w.Entry.ID, cmd.Task, cmd.Attempt)
 		p.checkStart(cmd, job)
 		p.addRun(w, cmd, job.Steps[cmd.Task.Step])
+		if p.OnStart != nil {
+			p.OnStart(w, cmd.Task)
+		}
 	}
 	return msg
 }
@@ -188,6 +194,7 @@
 			}
 		}
 	}
+	p.checkCrashes(cmd.Task)
 	now := p.clock.Now()
 	p.lastStart[cmd.Task] = now
 	p.starts[cmd.Task]++
@@ -266,8 +273,12 @@
 	w.lastEnd++
 	w.endTimes[w.lastEnd] = p.clock.Now()
 	w.ended = append(w.ended, plan.EndReport{Number: w.lastEnd, Task: r.task, Attempt: r.attempt, Kind: kind})
-	if kind == plan.EndDone {
+	switch kind {
+	case plan.EndDone:
 		p.done[r.task]++
+	case plan.EndFailed:
+		p.failedRuns[r.task]++
+	case plan.EndStopped, plan.EndLeaseExpired, plan.EndMemberEnded, plan.EndGangIncomplete:
 	}
 	memberKind := plan.EndMemberEnded
 	if kind == plan.EndDone {
@@ -301,7 +312,7 @@
 // no attempt up to the request's can be started any more.
 func (p *Pool) Stop(cmd plan.StopCmd) plan.StopMsg {
 	w := p.workers[cmd.Worker]
-	msg := plan.StopMsg{Worker: cmd.Worker, Task: cmd.Task, Attempt: cmd.Attempt, SentAt: p.clock.Now()}
+	msg := plan.StopMsg{Worker: cmd.Worker, Task: cmd.Task, Attempt: cmd.Attempt, SentAt: p.clock.Now(), Replaced: w.Replaced}
 	if w.Dead {
 		return msg
 	}
@@ -330,7 +341,11 @@
 // worker crashes or is cut off before that.
 func (p *Pool) Poll(cmd plan.PollCmd, reply func(plan.PollMsg)) {
 	w, sentAt := p.workers[cmd.Worker], p.clock.Now()
-	msg := plan.PollMsg{Worker: cmd.Worker, SentAt: sentAt, Acknowledged: cmd.Acknowledged}
+	msg := plan.PollMsg{Worker: cmd.Worker, SentAt: sentAt, Acknowledged: cmd.Acknowledged, Replaced: w.Replaced}
+	if w.Replaced {
+		reply(msg)
+		return
+	}
 	if w.Dead {
 		return
 	}
@@ -340,9 +355,7 @@
 		return
 	}
 	w.fence = cmd.Epoch
-	if cmd.LeaseUntil.After(w.lease) {
-		w.lease = cmd.LeaseUntil
-	}
+	p.extendLease(w, cmd.LeaseUntil)
 	p.acknowledge(w, cmd.Acknowledged)
 	answered := false
 	answer := func() {
@@ -351,7 +364,7 @@
 		}
 		answered = true
 		now := p.clock.Now()
-		msg.Answered, msg.StartedAt, msg.Clock = true, w.Entry.StartedAt, now
+		msg.Answered, msg.StartedAt, msg.Clock = true, w.Entry.StartedAt, p.clockOf(w)
 		msg.Ended = slices.Clone(w.ended)
 		for _, r := range w.sortedRuns() {
 			msg.Running = append(msg.Running, plan.RunReport{Task: r.task, Attempt: r.attempt, Percent: w.percent(now, r)})
