A task that crashes its workers is given up; innocent tasks are tried apart

Cause: nothing counted crashes. The loss of a worker broke the attempt and queued the gang again; only reported failures counted against a limit.

Change: - A worker has crashed if it is seen with a newer start time than the incarnation that has the run, or if another worker answers at its address, and it was not draining. Silence, a lease that ran out and removal from the list prove nothing. - Crashes are counted by task and attempt and stored with the gang. A place names the start of its worker's incarnation, so that a new leader counts the crash that the former one could not. Rows without these fields still decode. - How sure a crash is: the worker had confirmed the run, which cannot have ended unnoticed; or it may have, or was up just before the start and silent after it; or nothing of that. A clock that begins anew in an answer tells that the next incarnation has answered. - A gang with crashes waits up to 6 s for workers without runs of other jobs, and has them to itself for 5 s; its start waits until they answer a poll. - A job is given up after two proven crashes under a task if the task was alone and the worker silent soon after its start in one of them; after three crashes of which two are proven or likely; else after four or five. - A start is repeated only after its worker has answered a poll that was sent later, and runs on an earlier incarnation are stopped on the next one, so that no start crosses a restart. - What a worker had whose lease ran out in silence is watched for 10 s. With three crashes or such losses under one task the gang waits for them. - New event worker-crashed (325).

--- a/internal/core/plan/cmd.go
+++ b/internal/core/plan/cmd.go
@@ -90,6 +90,8 @@
 	JobLoaded
 	// Claimed means that workers are kept free for a wide gang.
 	Claimed
+	// CrashCounted means that a worker has crashed under a task, or may have.
+	CrashCounted
 	// JobStarted means that all members of the first gang of a job run.
 	JobStarted
 )
--- /dev/null
+++ b/internal/core/plan/crash.go
@@ -0,0 +1,335 @@
+package plan
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rattanshore/rattanshore/internal/wire/record"
+)
+
+const (
+	// crashesToBlame is the number of proven crashes under a task from which on it is
+	// given up if it is to blame for one of them, and crashesToGiveUp the number from
+	// which on it is given up in any case if two are proven or likely.
+	crashesToBlame  = 2
+	crashesToGiveUp = 3
+	// mostDoubt is how many crashes more it takes if none is proven or likely. A task may
+	// be started twice after the third crash under it.
+	mostDoubt = 2
+	// quickCrash is how soon after its start a task that is to blame crashes its worker.
+	quickCrash = 5 * time.Second
+	// leastDowntime is the least time for which a crashed worker is away. A start that
+	// was sent later before its return was not read by the crashed incarnation.
+	leastDowntime = time.Second
+	// freshAnswer is how old the answer of a worker may be that shows that it was up
+	// when a start was sent.
+	freshAnswer = 500 * time.Millisecond
+	// leastDurationShare is the least share of its expected duration that a task takes.
+	leastDurationShare = 0.5
+	// apartWait is how long a gang with crashes waits for workers that run nothing of
+	// another job.
+	apartWait = 6 * time.Second
+	// probation is how long a task under which workers have crashed has to run before
+	// tasks of other jobs are placed beside it.
+	probation = 5 * time.Second
+	// lossWait is how long a gang waits for the return of silent workers that may have
+	// crashed under a task, and mostOpen the number of crashes and such losses from
+	// which on it waits.
+	lossWait = 10 * time.Second
+	mostOpen = 3
+)
+
+// loss is a run that was given up because its worker was silent: the worker may have
+// crashed, or may only have been cut off.
+type loss struct {
+	gang     *gang
+	task     TaskID
+	attempt  int
+	until    time.Time
+	finished bool
+}
+
+// noticeRestart handles a possibly newer incarnation of the worker. It reports
+// whether it is one.
+func (m *Model) noticeRestart(now time.Time, w *worker, startedAt time.Time) bool {
+	if !startedAt.After(w.StartedAt) {
+		return false
+	}
+	m.countCrashes(now, w, startedAt)
+	if !w.StartedAt.IsZero() {
+		m.workerRestarted(now, w)
+	}
+	return true
+}
+
+// countCrashes counts the crash of a worker for the runs that it had. startedAt is
+// when its next incarnation started, or zero if another worker answers in its place.
+// Runs of an earlier leader that nobody has reported yet may be those of the next
+// incarnation and are judged by its first report.
+func (m *Model) countCrashes(now time.Time, w *worker, startedAt time.Time) {
+	for _, r := range w.sortedRuns() {
+		if r.onNewer && !startedAt.IsZero() {
+			r.incarnation, r.onNewer = startedAt, false
+		}
+		if startedAt.IsZero() || r.placedBefore(startedAt) && r.phase != recovering {
+			m.countCrash(now, r)
+		}
+	}
+	for _, l := range w.lost {
+		if !l.finished && m.live(l.gang) && !w.Draining {
+			m.addCrash(now, l.gang, w, record.Crash{Index: l.task.Index, Attempt: l.attempt})
+		}
+	}
+	w.settleLost()
+}
+
+// placedBefore reports whether the run was placed on an incarnation of its worker
+// before the one that started at the given time. Rows record milliseconds.
+func (r *run) placedBefore(startedAt time.Time) bool {
+	return !r.incarnation.IsZero() && r.incarnation.UnixMilli() < startedAt.UnixMilli()
+}
+
+// live reports whether the gang's job may still need it.
+func (m *Model) live(g *gang) bool {
+	return m.jobs[g.job.spec.ID] == g.job && g.phase != done && g.phase != discarded
+}
+
+// countCrash counts the crash of the run's worker, unless the worker cannot have had
+// the run, or was about to leave.
+func (m *Model) countCrash(now time.Time, r *run) {
+	if r.gang == nil || r.over || r.worker.Draining || !m.live(r.gang) || !r.mayHaveBeenRead(now) {
+		return
+	}
+	c := record.Crash{Index: r.task.Index, Attempt: r.attempt, Proven: m.ranAtCrash(now, r)}
+	c.Likely = !c.Proven && (r.wasConfirmed() || r.wasLikelyRead())
+	c.Blamed = c.Proven && r.alone() && r.worker.pollAnsweredAt.Sub(r.sentAt) < quickCrash
+	m.addCrash(now, r.gang, r.worker, c)
+}
+
+// mayHaveBeenRead reports whether the incarnation of the worker that has ended may
+// have had the run.
+func (r *run) mayHaveBeenRead(now time.Time) bool {
+	switch {
+	case r.phase == storing:
+		return false
+	case r.inherited, !r.confirmedAt.IsZero():
+		return true
+	default:
+		return r.startOpen && now.Sub(r.sentAt) >= leastDowntime
+	}
+}
+
+// wasConfirmed reports whether the worker has confirmed the run and has not been told
+// to stop it.
+func (r *run) wasConfirmed() bool {
+	return !r.confirmedAt.IsZero() && !r.stopRead
+}
+
+// ranAtCrash reports whether the worker had the run when it crashed: it had confirmed
+// it, and the run cannot have ended unnoticed before.
+func (m *Model) ranAtCrash(now time.Time, r *run) bool {
+	leastDuration := time.Duration(leastDurationShare * float64(m.expectedAttemptDuration(r.gang)))
+	return r.wasConfirmed() && now.Add(-leastDowntime).Before(r.sentAt.Add(leastDuration))
+}
+
+// wasLikelyRead reports whether the worker has not confirmed the run, but answered
+// just before the start was sent and never after that.
+func (r *run) wasLikelyRead() bool {
+	w := r.worker
+	silent := r.confirmedAt.IsZero() && !r.stopRead && !w.polledAt.After(r.sentAt)
+	return silent && !r.inherited && r.sentAt.Sub(w.pollAnsweredAt) <= freshAnswer
+}
+
+// alone reports whether the worker has no run of another job.
+func (r *run) alone() bool {
+	for _, o := range r.worker.runs {
+		if o.phase != storing && (o.gang == nil || o.gang.job != r.gang.job) {
+			return false
+		}
+	}
+	return true
+}
+
+// addCrash counts a crash under a task of the gang, once for each attempt, and gives
+// the job up if there are too many.
+func (m *Model) addCrash(now time.Time, g *gang, w *worker, c record.Crash) {
+	for _, known := range g.crashes {
+		if known.Index == c.Index && known.Attempt == c.Attempt {
+			return
+		}
+	}
+	g.crashes = append(g.crashes, c)
+	g.apartUntil = now.Add(apartWait)
+	tally := g.tallyCrashes(c.Index)
+	m.reportDecision(CrashCounted, g, w, fmt.Sprintf("task %d proven %v likely %v blamed %v, %d crashes, %d proven",
+		c.Index, c.Proven, c.Likely, c.Blamed, tally.all, tally.proven))
+	if tally.hopeless() {
+		m.endJob(now, g.job, record.Failed, fmt.Sprintf("%d workers crashed under task %d", tally.all, c.Index))
+		return
+	}
+	m.markDirty(now, g.job, immediate)
+}
+
+// crashTally counts the crashes under one task.
+type crashTally struct{ all, proven, likely, blamed int }
+
+func (g *gang) tallyCrashes(index int) crashTally {
+	var t crashTally
+	for _, c := range g.crashes {
+		if c.Index != index {
+			continue
+		}
+		t.all++
+		if c.Proven {
+			t.proven++
+		}
+		if c.Likely {
+			t.likely++
+		}
+		if c.Blamed {
+			t.blamed++
+		}
+	}
+	return t
+}
+
+// hopeless reports whether the task is to be given up. Crashes that are not proven
+// count less, since a job may be given up only if two workers crashed under a task.
+func (t crashTally) hopeless() bool {
+	if t.proven >= crashesToBlame && t.blamed > 0 {
+		return true
+	}
+	return t.all >= crashesToGiveUp+mostDoubt-min(t.proven+t.likely, mostDoubt)
+}
+
+// endEarlierRuns ends the runs that were placed on earlier incarnations of the
+// worker. They are stopped there, since a late start may have reached the new one.
+func (m *Model) endEarlierRuns(now time.Time, w *worker) {
+	for _, r := range w.sortedRuns() {
+		if r.gang == nil || r.over || r.phase == recovering || !r.placedBefore(w.StartedAt) {
+			continue
+		}
+		r.over = true
+		r.stopAnsweredAt = time.Time{}
+		m.abortAttempt(now, r.gang, "the worker has restarted ("+w.ID+")")
+	}
+}
+
+// loseInherited removes a run that its worker does not have. If an earlier leader
+// placed it on an earlier incarnation of the worker, that one has crashed under it.
+func (m *Model) loseInherited(now time.Time, r *run, reason string) {
+	if r.inherited && r.placedBefore(r.worker.StartedAt) {
+		m.countCrash(now, r)
+	}
+	m.loseRun(now, r, reason)
+}
+
+// watchLost remembers a run that is given up because its worker is silent, so that
+// the worker's crash is counted if it comes back soon.
+func (m *Model) watchLost(now time.Time, r *run) {
+	if r.gang == nil || r.over || !m.live(r.gang) || !r.mayHaveBeenRead(now) {
+		return
+	}
+	l := &loss{gang: r.gang, task: r.task, attempt: r.attempt, until: now.Add(lossWait)}
+	r.gang.unsettled = append(r.gang.unsettled, l)
+	r.worker.lost = append(r.worker.lost, l)
+	r.worker.watchUntil = l.until
+}
+
+// settleLost ends the watch on the worker's lost runs: it is known what became of it.
+func (w *worker) settleLost() {
+	for _, l := range w.lost {
+		l.finished = true
+	}
+	w.lost = nil
+	w.watchUntil = time.Time{}
+}
+
+// awaitsLost reports whether the gang waits to learn whether lost workers have
+// crashed, since it could otherwise be started too often.
+func (g *gang) awaitsLost(now time.Time) bool {
+	open := map[int]int{}
+	for _, l := range g.unsettled {
+		if !l.finished && now.Before(l.until) {
+			open[l.task.Index]++
+		}
+	}
+	for index, n := range open {
+		if n+g.tallyCrashes(index).all >= mostOpen {
+			return true
+		}
+	}
+	return false
+}
+
+// apart reports whether the gang is kept apart from the work on the worker: because
+// workers have crashed under its own tasks, or under those of a gang there that has
+// not run for long since.
+func apart(now time.Time, g *gang, w *worker) bool {
+	if len(g.crashes) == 0 && w.suspects == 0 {
+		return false
+	}
+	waits := len(g.crashes) > 0 && now.Before(g.apartUntil)
+	if waits && w.reserved != (record.Amount{}) {
+		return true
+	}
+	for _, r := range w.runs {
+		if r.gang != nil && r.gang.job == g.job {
+			continue
+		}
+		if waits || r.suspect && (r.phase != running || now.Sub(r.confirmedAt) < probation) {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitAnswers reports whether the start of a gang with crashes has to wait until its
+// workers answer. If one crashes then, it is known that it was up before the start.
+func (m *Model) awaitAnswers(now time.Time, g *gang) bool {
+	if len(g.crashes) == 0 {
+		return false
+	}
+	waits := false
+	for _, r := range g.runs {
+		if r.phase == storing && now.Sub(r.worker.pollAnsweredAt) > freshAnswer {
+			m.schedulePoll(now, r.worker)
+			waits = true
+		}
+	}
+	if waits && g.deadline.IsZero() {
+		g.deadline = now.Add(m.timing.GangWait)
+	}
+	return waits
+}
+
+// awaitsAnswer reports whether the run's start waits for an answer of its worker.
+func (r *run) awaitsAnswer() bool {
+	return r.phase == storing && r.suspect && r.gang.storedAttempt == r.attempt
+}
+
+// startAwaiting starts the gangs whose start has waited for the worker's answer.
+func (m *Model) startAwaiting(now time.Time, w *worker) {
+	for _, r := range w.sortedRuns() {
+		if w.runs[r.task] == r && r.awaitsAnswer() {
+			m.startRuns(now, r.gang)
+		}
+	}
+}
+
+// place returns the row in which the run's place is recorded.
+func (r *run) place() record.Place {
+	p := record.Place{Index: r.task.Index, Worker: r.worker.ID}
+	if !r.incarnation.IsZero() {
+		p.StartedAtMs = r.incarnation.UnixMilli()
+	}
+	return p
+}
+
+// startTime returns when the incarnation of a recorded place started.
+func startTime(p record.Place) time.Time {
+	if p.StartedAtMs == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(p.StartedAtMs)
+}
--- a/internal/core/plan/ends.go
+++ b/internal/core/plan/ends.go
@@ -51,6 +51,9 @@
 	if r.gang != nil && report.Checkpoint != "" && r.phase != terminating {
 		r.gang.checkpoint = report.Checkpoint
 	}
+	if !r.over {
+		r.incarnation, r.onNewer = w.StartedAt, false
+	}
 	r.progress.report(report.Percent, clock)
 	m.measurePace(now, r)
 	m.confirmRun(now, r)
@@ -70,14 +73,14 @@
 	switch r.phase {
 	case storing, starting:
 	case recovering:
-		m.loseRun(now, r, "the worker does not have the run")
+		m.loseInherited(now, r, "the worker does not have the run")
 	case running:
 		if r.confirmedAt.Before(polledAt) {
 			m.loseRun(now, r, "the worker no longer has the run")
 		}
 	case terminating:
 		if !r.stopAnsweredAt.IsZero() && r.stopAnsweredAt.Before(polledAt) {
-			m.loseRun(now, r, "stopped")
+			m.loseInherited(now, r, "stopped")
 		}
 	}
 }
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -45,7 +45,16 @@
 	// lostAttempts lists the attempts of which a run was given up without an
 	// end being reported.
 	lostAttempts []int
-	checkpoint   string
+	// crashes holds the crashes of workers under the gang's tasks, and unsettled the
+	// losses of workers that may have been crashes.
+	crashes   []record.Crash
+	unsettled []*loss
+	// apartUntil is the time until which a gang with crashes waits for workers that
+	// run nothing of another job.
+	apartUntil time.Time
+	// storedAttempt is the newest attempt whose places are stored.
+	storedAttempt int
+	checkpoint    string
 	// failedOn names the workers on which an attempt has failed.
 	failedOn map[string]bool
 
@@ -176,6 +185,7 @@
 		}
 		g.failedAttempts = gp.FailedAttempts
 		g.checkpoint = gp.Checkpoint
+		g.crashes = gp.Crashes
 		if gp.Done {
 			g.phase = done
 			j.unfinished[stepKey{g.occurrence, g.step}]--
@@ -196,6 +206,7 @@
 		m.addRun(&run{
 			task:    TaskID{Job: g.job.spec.ID, Occurrence: g.occurrence, Step: g.step, Index: place.Index},
 			attempt: gp.Attempt, gang: g, worker: w, need: g.need(), phase: recovering, sentAt: now,
+			incarnation: startTime(place), inherited: true,
 		})
 	}
 	if len(g.runs) == 0 {
@@ -305,7 +316,7 @@
 		return p
 	}
 	for _, g := range j.gangs {
-		if g.phase != done && len(g.failedAttempts) == 0 && g.checkpoint == "" && len(g.runs) == 0 {
+		if g.phase != done && len(g.failedAttempts) == 0 && len(g.crashes) == 0 && g.checkpoint == "" && len(g.runs) == 0 {
 			continue
 		}
 		p.Gangs = append(p.Gangs, record.GangProgress{
@@ -316,6 +327,7 @@
 			First:          g.first,
 			Done:           g.phase == done,
 			FailedAttempts: g.failedAttempts,
+			Crashes:        g.crashes,
 			Checkpoint:     g.checkpoint,
 		})
 	}
@@ -329,7 +341,7 @@
 	}
 	places := make([]record.Place, 0, len(g.runs))
 	for _, r := range g.runs {
-		places = append(places, record.Place{Index: r.task.Index, Worker: r.worker.ID})
+		places = append(places, r.place())
 	}
 	return places
 }
--- a/internal/core/plan/lease.go
+++ b/internal/core/plan/lease.go
@@ -42,6 +42,16 @@
 	return w.clock.Add(passed).After(w.leaseUntil.Add(clockMargin))
 }
 
+// leastClock returns the least that the worker's clock can show now, unless it has
+// begun anew in another incarnation.
+func (w *worker) leastClock(now time.Time) time.Time {
+	if w.clock.IsZero() {
+		return time.Time{}
+	}
+	passed := time.Duration(float64(now.Sub(w.clockAt)) * (1 - clockDrift))
+	return w.clock.Add(passed - clockMargin)
+}
+
 // updateClock records a reading of the worker's clock. Older readings are
 // ignored.
 func (w *worker) updateClock(now time.Time, clock time.Time) {
--- a/internal/core/plan/msg.go
+++ b/internal/core/plan/msg.go
@@ -124,6 +124,8 @@
 	Fenced   bool
 	Replaced bool
 	SentAt   time.Time
+	// Clock is the worker's clock when it answered; zero if that is not known.
+	Clock time.Time
 }
 
 // RunReport describes a run that a worker has.
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -55,6 +55,9 @@
 // failed adds no key, since other gangs may use these workers.
 func (m *Model) tryPlace(now time.Time, r rankedGang, failed failedKeys) {
 	g := r.gang
+	if g.awaitsLost(now) {
+		return
+	}
 	key := r.placementKey(now)
 	shared := len(g.claim.workers) == 0 && r.ageing == young
 	mayUseHeadroom := m.mayUseHeadroom(now, r)
@@ -237,6 +240,9 @@
 	if !overlay.allowsClaimed() && m.closedTo(now, w, g) {
 		return 0
 	}
+	if apart(now, g, w) {
+		return 0
+	}
 	s := g.spec()
 	n := fitCount(s.Need, overlay.freeOn(w))
 	if s.SpreadLimit > 0 {
--- a/internal/core/plan/poll.go
+++ b/internal/core/plan/poll.go
@@ -30,7 +30,7 @@
 	unacked := w.storedEnd > w.ackedEnd
 	switch {
 	case !w.synced && (w.listed || now.Before(w.inheritedUntil)):
-	case len(w.runs) > 0, unacked:
+	case len(w.runs) > 0, unacked, now.Before(w.watchUntil):
 	default:
 		return
 	}
@@ -100,12 +100,11 @@
 	w.pollAnsweredAt = now
 	w.polledAt = msg.SentAt
 	w.avoidUntil = time.Time{}
-	if !msg.StartedAt.IsZero() && msg.StartedAt.After(w.StartedAt) {
-		if !w.StartedAt.IsZero() {
-			m.workerRestarted(now, w)
-		}
+	if m.noticeRestart(now, w, msg.StartedAt) {
 		w.StartedAt = msg.StartedAt
+		m.endEarlierRuns(now, w)
 	}
+	w.settleLost()
 	w.updateClock(now, msg.Clock)
 	if !w.synced {
 		w.synced = true
@@ -113,6 +112,7 @@
 	}
 	w.ackedEnd = max(w.ackedEnd, min(msg.Acknowledged, w.seenEnd))
 	m.reconcile(now, w, msg)
+	m.startAwaiting(now, w)
 	if w.seenEnd > w.storedEnd {
 		// The next poll is sent as soon as these ends are stored.
 		w.nextPoll = now.Add(m.timing.PollWait)
@@ -133,10 +133,11 @@
 		for _, r := range w.sortedRuns() {
 			// A run that is still being stored was never sent.
 			if r.phase != storing {
+				m.watchLost(now, r)
 				m.loseRun(now, r, "the lease has expired")
 			}
 		}
-		if !w.listed && len(w.runs) == 0 {
+		if !w.listed && len(w.runs) == 0 && !now.Before(w.watchUntil) {
 			m.forget(w)
 			return
 		}
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -45,6 +45,30 @@
 	mayHaveStarted bool
 	// stopAnsweredAt is when the worker answered a stop.
 	stopAnsweredAt time.Time
+	// incarnation is when the incarnation of the worker started that has the run, or on
+	// which it was placed; zero if that is not known.
+	incarnation time.Time
+	// startSentAt is when the newest start was sent, and startOpen is set while one
+	// may have been carried out unknown to this leader.
+	startSentAt time.Time
+	startOpen   bool
+	// clockAtStart is the least that the worker's clock could show when that start was
+	// sent.
+	clockAtStart time.Time
+	// clockAtStop is the same for the newest stop, and stopRead is set once the
+	// incarnation that has the run has answered one.
+	clockAtStop time.Time
+	stopRead    bool
+	// onNewer is set if an incarnation has the run of which no list or poll has told
+	// yet.
+	onNewer bool
+	// inherited is set if an earlier leader placed the run.
+	inherited bool
+	// over is set once that incarnation of the worker is known to have ended. The run
+	// is then only stopped, in case a late start reaches the next one.
+	over bool
+	// suspect is set if workers had crashed under the gang's tasks before.
+	suspect bool
 
 	progress progress
 	// rate is the progress in percent per second since all members were
@@ -79,7 +103,7 @@
 	for i, w := range places {
 		m.addRun(&run{
 			task:    TaskID{Job: g.job.spec.ID, Occurrence: g.occurrence, Step: g.step, Index: g.first + i},
-			attempt: g.attempt, gang: g, worker: w, need: g.need(), sentAt: now,
+			attempt: g.attempt, gang: g, worker: w, need: g.need(), sentAt: now, incarnation: w.StartedAt,
 		})
 	}
 	m.markDirty(now, g.job, immediate)
@@ -95,6 +119,9 @@
 		m.abortAttempt(now, g, "a worker became unavailable before the start")
 		return
 	}
+	if m.awaitAnswers(now, g) {
+		return
+	}
 	for _, r := range g.runs {
 		if r.phase == storing {
 			r.phase = starting
@@ -141,6 +168,10 @@
 // addRun assigns the run to its worker and gang and takes its capacity.
 func (m *Model) addRun(r *run) {
 	r.worker.runs[r.task] = r
+	if r.gang != nil && len(r.gang.crashes) > 0 {
+		r.suspect = true
+		r.worker.suspects++
+	}
 	r.worker.recount()
 	if r.gang != nil {
 		r.gang.runs = append(r.gang.runs, r)
@@ -156,6 +187,9 @@
 		w.leaseUntil = later(w.leaseUntil, lease)
 	}
 	r.callPending = true
+	r.startSentAt = now
+	r.clockAtStart = w.leastClock(now)
+	r.startOpen = true
 	w.callSent(now)
 	m.emit(StartCmd{
 		Worker:     w.ID,
@@ -180,7 +214,7 @@
 	if r == nil || r.attempt != msg.Attempt {
 		return
 	}
-	r.callPending = false
+	r.startAnswered(msg)
 	if r.phase == terminating {
 		m.handleLateStart(now, r, msg)
 		return
@@ -190,8 +224,8 @@
 		w.callAnswered()
 		m.confirmRun(now, r)
 	case Unanswered:
-		r.mayHaveStarted = true
 		r.retryAt = now.Add(m.timing.StartRetry)
+		m.schedulePoll(now, w)
 	case Fenced:
 		m.emit(StepDownCmd{})
 	case Replaced:
@@ -216,6 +250,18 @@
 	}
 }
 
+// startAnswered records what the outcome of a start tells about the run.
+func (r *run) startAnswered(msg StartMsg) {
+	r.callPending = false
+	if msg.Outcome == Unanswered {
+		r.mayHaveStarted = true
+	}
+	r.startOpen = r.mayHaveStarted
+	if !msg.Clock.IsZero() && msg.Clock.Before(r.clockAtStart) {
+		r.onNewer = true
+	}
+}
+
 const (
 	// noCapacityPause is how long a worker gets no new work after it had too little
 	// free capacity for a start.
--- a/internal/core/plan/stall.go
+++ b/internal/core/plan/stall.go
@@ -20,6 +20,8 @@
 	suspectPollWait = 300 * time.Millisecond
 	// urgentPollWait is the same while urgent gangs run on it.
 	urgentPollWait = 500 * time.Millisecond
+	// retryPollWait is the same while a start there has to be repeated.
+	retryPollWait = 100 * time.Millisecond
 )
 
 // progress is what the reports on a run say about its progress. Times are of the
@@ -93,6 +95,10 @@
 	wait := m.timing.PollWait
 	for _, r := range w.runs {
 		switch {
+		case r.awaitsAnswer():
+			return 0
+		case r.phase == starting && r.mayHaveStarted:
+			wait = min(wait, retryPollWait)
 		case r.gang == nil || r.phase != running:
 		case r.progress.suspect():
 			wait = min(wait, suspectPollWait)
--- a/internal/core/plan/stop.go
+++ b/internal/core/plan/stop.go
@@ -19,6 +19,10 @@
 // removeRun removes a run from its worker and gang and frees its capacity.
 func (m *Model) removeRun(r *run) {
 	delete(r.worker.runs, r.task)
+	if r.suspect {
+		r.suspect = false
+		r.worker.suspects--
+	}
 	r.worker.recount()
 	m.changed = true
 	if r.gang == nil {
@@ -81,6 +85,7 @@
 	}
 	r.phase = terminating
 	r.callPending = true
+	r.clockAtStop = r.worker.leastClock(now)
 	m.schedulePoll(now, r.worker)
 	m.emit(StopCmd{Worker: r.worker.ID, Address: r.worker.Address, Task: r.task, Attempt: r.attempt, Epoch: m.epoch})
 }
@@ -103,6 +108,7 @@
 		m.workerReplaced(now, w)
 	case msg.Answered:
 		r.stopAnsweredAt = now
+		r.stopRead = r.stopRead || !msg.Clock.Before(r.clockAtStop)
 	default:
 		r.retryAt = now.Add(stopRetry)
 	}
@@ -149,10 +155,13 @@
 	}
 }
 
-// retryStarts repeats unanswered starts.
+// retryStarts repeats unanswered starts. Before that the worker has to answer a poll
+// that was sent after the start: a worker that has crashed meanwhile could carry out
+// the repeated start in its next incarnation.
 func (m *Model) retryStarts(now time.Time, g *gang) {
 	for _, r := range g.runs {
-		if r.phase == starting && !r.callPending && r.worker.synced && !now.Before(r.retryAt) {
+		if r.phase == starting && !r.callPending && r.worker.synced && !now.Before(r.retryAt) &&
+			r.worker.polledAt.After(r.startSentAt) {
 			m.sendStart(now, r)
 		}
 	}
@@ -161,7 +170,7 @@
 // avoidUnconfirmed assigns no new work to workers that did not confirm a start.
 func (m *Model) avoidUnconfirmed(now time.Time, g *gang) {
 	for _, r := range g.runs {
-		if r.phase == starting {
+		if r.phase == starting || r.phase == storing {
 			r.worker.avoidUntil = later(r.worker.avoidUntil, now.Add(m.timing.SilenceLimit))
 		}
 	}
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -45,7 +45,14 @@
 	// newest end that was acknowledged to the worker.
 	seenEnd, storedEnd, ackedEnd int64
 
+	// lost holds the runs that were given up while the worker was silent. Until
+	// watchUntil it is polled to learn whether it had crashed.
+	lost       []*loss
+	watchUntil time.Time
+
 	runs map[TaskID]*run
+	// suspects counts the runs of gangs under whose tasks workers have crashed.
+	suspects int
 	// claimedBy is the gang that holds a claim on the worker.
 	claimedBy *gang
 	// drainEndsAt is the earliest time at which a draining worker ends.
@@ -116,11 +123,12 @@
 	if entry.StartedAt.Before(w.StartedAt) {
 		return false
 	}
-	if !w.StartedAt.IsZero() && entry.StartedAt.After(w.StartedAt) {
-		m.workerRestarted(now, w)
-	}
+	restarted := m.noticeRestart(now, w, entry.StartedAt)
 	before, listed := w.Worker, w.listed
 	w.Worker, w.listed = entry, true
+	if restarted {
+		m.endEarlierRuns(now, w)
+	}
 	if entry.Draining && !before.Draining {
 		w.drainEndsAt = now.Add(entry.Remaining)
 	}
@@ -145,7 +153,7 @@
 		return
 	}
 	w.listed = false
-	if len(w.runs) == 0 && (w.synced || !now.Before(w.inheritedUntil)) {
+	if len(w.runs) == 0 && !now.Before(w.watchUntil) && (w.synced || !now.Before(w.inheritedUntil)) {
 		m.forget(w)
 	}
 }
@@ -172,6 +180,7 @@
 // workerReplaced handles that another worker answers at the address: no run of
 // this one is left.
 func (m *Model) workerReplaced(now time.Time, w *worker) {
+	m.countCrashes(now, w, time.Time{})
 	m.workerRestarted(now, w)
 	for _, r := range w.sortedRuns() {
 		m.loseRun(now, r, "the worker was replaced")
--- a/internal/core/plan/write.go
+++ b/internal/core/plan/write.go
@@ -263,6 +263,7 @@
 	s.acks = nil
 	for _, a := range s.toStart {
 		if a.gang.attempt == a.attempt {
+			a.gang.storedAttempt = a.attempt
 			m.startRuns(now, a.gang)
 		}
 	}
--- a/internal/edge/fleet/decision.go
+++ b/internal/edge/fleet/decision.go
@@ -23,6 +23,7 @@
 		plan.JobLoaded:         logev.JobTaken,
 		plan.JobStarted:        logev.JobStarted,
 		plan.Claimed:           logev.WorkersClaimed,
+		plan.CrashCounted:      logev.WorkerCrashed,
 	}
 	event, ok := events[d.Kind]
 	if !ok {
@@ -57,6 +58,7 @@
 		meter.JobsEnded.Inc()
 	case plan.JobStarted:
 		meter.StartDelay.Update(d.Delay.Seconds())
-	case plan.GangRunning, plan.GangDone, plan.Adopted, plan.WorkerLost, plan.WorkerQuarantined, plan.JobLoaded, plan.Claimed:
+	case plan.GangRunning, plan.GangDone, plan.Adopted, plan.WorkerLost, plan.WorkerQuarantined, plan.JobLoaded, plan.Claimed,
+		plan.CrashCounted:
 	}
 }
--- a/internal/fakes/pool/worker.go
+++ b/internal/fakes/pool/worker.go
@@ -321,7 +321,7 @@
 		return msg
 	}
 	w.fence = cmd.Epoch
-	msg.Answered = true
+	msg.Answered, msg.Clock = true, p.clockOf(w)
 	w.highestAttempt[cmd.Task] = max(w.highestAttempt[cmd.Task], cmd.Attempt)
 	r := w.runs[cmd.Task]
 	if r == nil || r.attempt > cmd.Attempt || r.stopping {
--- a/internal/ops/logev/logev.go
+++ b/internal/ops/logev/logev.go
@@ -70,6 +70,7 @@
 	JobTaken        Event = 322
 	WorkersClaimed  Event = 323
 	JobStarted      Event = 324
+	WorkerCrashed   Event = 325
 	InternalProblem Event = 900
 )
 
@@ -137,6 +138,7 @@
 	{WorkersClaimed, "workers-claimed", zerolog.InfoLevel, "Workers are reserved for a wide gang until it fits on them."},
 	{JobTaken, "job-taken", zerolog.InfoLevel, "The leader has read a job's row and plans the job."},
 	{WorkerSetAside, "worker-set-aside", zerolog.WarnLevel, "A worker gets no work for a while because tasks keep failing on it."},
+	{WorkerCrashed, "worker-crashed", zerolog.WarnLevel, "A worker has crashed under a task, or may have; the detail says how sure that is and how often it has happened."},
 	{InternalProblem, "internal-problem", zerolog.ErrorLevel, "An internal error that should not happen; please report it."},
 }
 
--- a/internal/wire/record/record.gen.go
+++ b/internal/wire/record/record.gen.go
@@ -46,12 +46,33 @@
 	MilliCores int `json:"milli-cores,omitempty,omitzero"`
 }
 
+// Crash A worker that crashed while it ran a task, or may have run it.
+type Crash struct {
+	// Attempt The attempt that the worker had or may have had.
+	Attempt int `json:"attempt"`
+
+	// Blamed It crashed soon after the start and ran tasks of no other job.
+	Blamed bool `json:"blamed,omitempty,omitzero"`
+
+	// Index The task's index in its step.
+	Index int `json:"index"`
+
+	// Likely The worker had the task
+	Likely bool `json:"likely,omitempty,omitzero"`
+
+	// Proven The worker certainly had the task when it crashed.
+	Proven bool `json:"proven,omitempty,omitzero"`
+}
+
 // GangProgress defines model for GangProgress.
 type GangProgress struct {
 	// Attempt The attempt of the places.
 	Attempt    int    `json:"attempt,omitempty,omitzero"`
 	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
-	Done       bool   `json:"done,omitempty,omitzero"`
+
+	// Crashes The crashes of workers under the gang's tasks.
+	Crashes []Crash `json:"crashes,omitempty,omitzero"`
+	Done    bool    `json:"done,omitempty,omitzero"`
 
 	// FailedAttempts The attempts that ended by a failure.
 	FailedAttempts []int `json:"failed-attempts,omitempty,omitzero"`
@@ -117,8 +138,11 @@
 // Place defines model for Place.
 type Place struct {
 	// Index The task's index in its step.
-	Index  int    `json:"index"`
-	Worker string `json:"worker"`
+	Index int `json:"index"`
+
+	// StartedAtMs When the incarnation of the worker started; absent in rows of earlier versions.
+	StartedAtMs int64  `json:"started-at-ms,omitempty,omitzero"`
+	Worker      string `json:"worker"`
 }
 
 // Progress defines model for Progress.
