A gang is not placed on a worker that has left since it was reserved

What callers saw: nothing yet; a job could stay running for ever.

Cause: preempting a gang that has not been started frees its worker at once. If that worker leaves the list before the urgent gang is placed on its reserved places, the worker is forgotten, and the run there is never given up, since only known workers are checked for leases that have run out.

Change: a reservation with a worker that is no longer listed is given up.

Test: 'is not placed on a worker that has left since it was reserved', red before.

--- a/internal/core/plan/preempt.go
+++ b/internal/core/plan/preempt.go
@@ -281,9 +281,10 @@
 
 // checkReserved places a gang whose reserved capacity has become free. It puts
 // the gang back into the queue if a worker is lost or the reservation times
-// out.
+// out. A worker that has left the list may be forgotten, and a run there never end.
 func (m *Model) checkReserved(now time.Time, g *gang) {
-	if m.placesFree(g) {
+	gone := slices.ContainsFunc(g.places, func(w *worker) bool { return !w.listed })
+	if !gone && m.placesFree(g) {
 		places := g.places
 		m.unreserve(g)
 		m.place(now, g, places)
--- a/internal/core/plan/starve_test.go
+++ b/internal/core/plan/starve_test.go
@@ -213,6 +213,28 @@
 		Expect(lateStarted).To(BeTrue())
 	})
 
+	// Pattern: a gang that was not started yet is preempted, and the worker that is then
+	// free leaves the list before the urgent gang is placed there.
+	It("is not placed on a worker that has left since it was reserved", func() {
+		w := newWorld(7, 2)
+		w.run(100 * time.Millisecond)
+		w.storeDown = true
+		w.submit(job(1, "patient", wholeWorkers(2, 9*time.Second)))
+		w.run(10 * time.Millisecond)
+		urgent := job(2, "urgent", wholeWorkers(1, 2*time.Second))
+		w.submit(urgent)
+		for _, id := range w.IDs() {
+			w.Crash(w.Worker(id))
+			w.send(plan.WorkersMsg{Gone: []string{id}})
+		}
+		w.storeDown = false
+		w.run(5 * time.Second)
+		w.send(plan.WorkersMsg{Changed: []plan.Worker{w.addWorker("worker-09", "domain-0", "rack-0").Entry}})
+		w.run(30 * time.Second)
+		Expect(w.Problems()).To(BeEmpty())
+		Expect(w.state(urgent.ID)).To(Equal(record.Completed))
+	})
+
 	// Pattern: the rack with a gang's data leaves while the others stay busy.
 	It("is placed elsewhere when the rack with its data can't hold it", func() {
 		w := newWorld(6, 48)
