Crashes before a start are not counted; starts are repeated sooner

The first start there was recognized as read by the next incarnation, by its clock; but that clock was then taken for the worker's, so that the next start on it looked like one before the restart.

Change: - The clock of an incarnation that no list or poll has told of is not adopted. - A start is repeated, too, if the worker has answered a poll within the last second, since its next incarnation cannot be up so soon. - A worker counts as up before a start if it answered within 100 ms of it, 500 ms before.

--- a/internal/core/plan/crash.go
+++ b/internal/core/plan/crash.go
@@ -23,7 +23,7 @@
 	leastDowntime = time.Second
 	// freshAnswer is how old the answer of a worker may be that shows that it was up
 	// when a start was sent.
-	freshAnswer = 500 * time.Millisecond
+	freshAnswer = 100 * time.Millisecond
 	// leastDurationShare is the least share of its expected duration that a task takes.
 	leastDurationShare = 0.5
 	// apartWait is how long a gang with crashes waits for workers that run nothing of
@@ -119,6 +119,14 @@
 	}
 }
 
+// sameIncarnation reports whether the worker cannot have restarted since the newest
+// start was sent: it has answered a poll that was sent later, or a poll so recently
+// that its next incarnation could not be up yet.
+func (r *run) sameIncarnation(now time.Time) bool {
+	w := r.worker
+	return w.polledAt.After(r.startSentAt) || now.Sub(w.pollAnsweredAt) < leastDowntime
+}
+
 // wasConfirmed reports whether the worker has confirmed the run and has not been told
 // to stop it.
 func (r *run) wasConfirmed() bool {
--- a/internal/core/plan/crash_test.go
+++ b/internal/core/plan/crash_test.go
@@ -196,6 +196,27 @@
 		Expect(w.state(j.ID)).To(Equal(record.Completed))
 	})
 
+	// Pattern: an idle worker crashes and is back under its identifier. Two jobs start on
+	// the next incarnation before anybody has told the leader of it.
+	It("is not charged with a crash before its start", func() {
+		w := newWorld(8, 1)
+		w.work = func(plan.TaskID) time.Duration { return 4 * time.Second }
+		w.run(3 * time.Second)
+		w.crash(w.Worker("worker-00"))
+		w.run(20 * time.Millisecond)
+		for i := range 2 {
+			w.submit(job(i+1, "long", step(1, 2)))
+			w.run(100 * time.Millisecond)
+		}
+		w.run(10 * time.Second)
+		Expect(w.Problems()).To(BeEmpty())
+		for i := range 2 {
+			j := job(i+1, "long", step(1, 2))
+			Expect(w.state(j.ID)).To(Equal(record.Completed))
+			Expect(w.Starts(plan.TaskID{Job: j.ID})).To(Equal(1))
+		}
+	})
+
 	// Pattern: an upgrade while tasks run. Rows of the earlier version have places
 	// without the time at which their worker started.
 	It("goes on under a leader that reads places of the earlier version", func() {
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -209,12 +209,11 @@
 	if !ok {
 		return
 	}
-	w.updateClock(now, msg.Clock)
 	r := w.runs[msg.Task]
 	if r == nil || r.attempt != msg.Attempt {
 		return
 	}
-	r.startAnswered(msg)
+	r.startAnswered(now, msg)
 	if r.phase == terminating {
 		m.handleLateStart(now, r, msg)
 		return
@@ -250,8 +249,10 @@
 	}
 }
 
-// startAnswered records what the outcome of a start tells about the run.
-func (r *run) startAnswered(msg StartMsg) {
+// startAnswered records what the outcome of a start tells about the run and its
+// worker's clock. The clock is not taken from an incarnation of which no list or poll
+// has told yet, so that its later answers are recognized, too.
+func (r *run) startAnswered(now time.Time, msg StartMsg) {
 	r.callPending = false
 	if msg.Outcome == Unanswered {
 		r.mayHaveStarted = true
@@ -259,7 +260,9 @@
 	r.startOpen = r.mayHaveStarted
 	if !msg.Clock.IsZero() && msg.Clock.Before(r.clockAtStart) {
 		r.onNewer = true
+		return
 	}
+	r.worker.updateClock(now, msg.Clock)
 }
 
 const (
--- a/internal/core/plan/stop.go
+++ b/internal/core/plan/stop.go
@@ -155,13 +155,11 @@
 	}
 }
 
-// retryStarts repeats unanswered starts. Before that the worker has to answer a poll
-// that was sent after the start: a worker that has crashed meanwhile could carry out
-// the repeated start in its next incarnation.
+// retryStarts repeats unanswered starts to workers that are certain not to have
+// restarted meanwhile: the next incarnation could carry out the repeated start.
 func (m *Model) retryStarts(now time.Time, g *gang) {
 	for _, r := range g.runs {
-		if r.phase == starting && !r.callPending && r.worker.synced && !now.Before(r.retryAt) &&
-			r.worker.polledAt.After(r.startSentAt) {
+		if r.phase == starting && !r.callPending && r.worker.synced && !now.Before(r.retryAt) && r.sameIncarnation(now) {
 			m.sendStart(now, r)
 		}
 	}
