Crashed workers keep no urgent or lasting work waiting; only crashes soon after a start count

Callers would have seen urgent jobs start 15 s late, tasks without an end at work nowhere for 10 s, and harmless jobs given up, after ordinary crashes of workers.

Cause: every task under a crashed worker was isolated, without a limit and before all others; every crash counted, however long the task had run; a worker filled by one job counted as that job's own; a new leader did not know which workers were leaving.

Change: urgent tasks and tasks without an end are not isolated, and urgent ones use the workers of suspects last; waits for isolation are 3 s, isolation 2 s (6 and 5 s before); crashes of workers that were seen up 5 s after the start are not counted; a task is to blame if nothing else ran on the worker, and is given up after two such crashes, or after three to five as before; the roster records that a worker is leaving.

--- a/internal/core/plan/crash.go
+++ b/internal/core/plan/crash.go
@@ -8,15 +8,16 @@
 )
 
 const (
-	// crashesToBlame is the number of proven crashes under a task from which on it is
-	// given up if it is to blame for one of them, and crashesToGiveUp the number from
-	// which on it is given up in any case if two are proven or none is doubtful.
+	// crashesToBlame is the number of crashes that a task is to blame for from which on
+	// it is given up, and crashesToGiveUp the number from which on it is given up in any
+	// case if two are proven or none is doubtful.
 	crashesToBlame  = 2
 	crashesToGiveUp = 3
 	// mostDoubt is how many crashes more it takes at most if some are neither proven nor
 	// likely. A task may be started twice after the third crash under it.
 	mostDoubt = 2
-	// quickCrash is how soon after its start a task that is to blame crashes its worker.
+	// quickCrash is how soon after its start a task crashes its worker. Crashes of
+	// workers that were seen up for longer with the task are not counted under it.
 	quickCrash = 5 * time.Second
 	// leastDowntime is the least time for which a crashed worker is away. A start that
 	// was sent later before its return was not read by the crashed incarnation.
@@ -28,10 +29,10 @@
 	leastDurationShare = 0.5
 	// apartWait is how long a gang with crashes waits for workers that run nothing of
 	// another job.
-	apartWait = 6 * time.Second
+	apartWait = 3 * time.Second
 	// probation is how long a task under which workers have crashed has to run before
 	// tasks of other jobs are placed beside it.
-	probation = 5 * time.Second
+	probation = 2 * time.Second
 	// lossWait is how long a gang waits for the return of silent workers that may have
 	// crashed under a task, and mostOpen the number of crashes and such losses from
 	// which on it waits.
@@ -92,15 +93,19 @@
 }
 
 // countCrash counts the crash of the run's worker, unless the worker cannot have had
-// the run, or was about to leave.
+// the run, was seen up long after it had started it, or may have left in order.
 func (m *Model) countCrash(now time.Time, r *run) {
-	if r.gang == nil || r.over || r.worker.Draining || !m.live(r.gang) || !r.mayHaveBeenRead(now) {
+	w := r.worker
+	if r.gang == nil || r.over || !m.live(r.gang) || !r.mayHaveBeenRead(now) {
+		return
+	}
+	if w.Draining || r.wasConfirmed() && w.pollAnsweredAt.Sub(r.confirmedAt) >= quickCrash {
 		return
 	}
 	c := record.Crash{Index: r.task.Index, Attempt: r.attempt, Proven: m.ranAtCrash(now, r)}
 	c.Likely = !c.Proven && (r.wasConfirmed() || r.wasLikelyRead())
-	c.Blamed = c.Proven && r.alone() && r.worker.pollAnsweredAt.Sub(r.sentAt) < quickCrash
-	m.addCrash(now, r.gang, r.worker, c)
+	c.Blamed = c.Proven && r.alone()
+	m.addCrash(now, r.gang, w, c)
 }
 
 // mayHaveBeenRead reports whether the incarnation of the worker that has ended may
@@ -145,10 +150,10 @@
 	return silent && !r.inherited && r.sentAt.Sub(w.pollAnsweredAt) <= freshAnswer
 }
 
-// alone reports whether the worker has no run of another job.
+// alone reports whether the worker has no other run.
 func (r *run) alone() bool {
 	for _, o := range r.worker.runs {
-		if o.phase != storing && (o.gang == nil || o.gang.job != r.gang.job) {
+		if o != r && o.phase != storing {
 			return false
 		}
 	}
@@ -201,7 +206,7 @@
 // hopeless reports whether the task is to be given up. Crashes that are not proven
 // count less, since a job may be given up only if two workers crashed under a task.
 func (t crashTally) hopeless() bool {
-	if t.proven >= crashesToBlame && t.blamed > 0 {
+	if t.blamed >= crashesToBlame {
 		return true
 	}
 	if t.proven >= crashesToBlame {
@@ -274,9 +279,10 @@
 
 // apart reports whether the gang is kept apart from the work on the worker: because
 // workers have crashed under its own tasks, or under those of a gang there that has
-// not run for long since.
+// not run for long since. Urgent tasks and tasks without an end are not kept from any
+// worker: they would wait for too long.
 func apart(now time.Time, g *gang, w *worker) bool {
-	if len(g.crashes) == 0 && w.suspects == 0 {
+	if len(g.crashes) == 0 && w.suspects == 0 || g.job.queue.Priority == 0 || g.spec().Perpetual {
 		return false
 	}
 	waits := len(g.crashes) > 0 && now.Before(g.apartUntil)
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -275,11 +275,16 @@
 
 // candidateOrder returns the order in which candidates are used for a gang:
 // fast workers first for urgent gangs, slow ones first for all others, and
-// within a class of speed the tightest fit.
+// within a class of speed the tightest fit. Urgent gangs use workers that may soon
+// crash only if there are no others.
 func candidateOrder(g *gang) func(a, b candidate) int {
 	if g.job.queue.Priority == 0 {
 		return func(a, b candidate) int {
-			return cmp.Or(cmp.Compare(b.worker.speed.class(), a.worker.speed.class()), compareTightness(a, b))
+			return cmp.Or(
+				falseFirst(a.worker.suspects > 0, b.worker.suspects > 0),
+				cmp.Compare(b.worker.speed.class(), a.worker.speed.class()),
+				compareTightness(a, b),
+			)
 		}
 	}
 	return func(a, b candidate) int {
--- a/internal/core/plan/roster.go
+++ b/internal/core/plan/roster.go
@@ -39,7 +39,7 @@
 		if err != nil {
 			continue
 		}
-		w := newWorker(Worker{ID: e.ID, Address: address, Domain: e.Domain, Target: e.Target})
+		w := newWorker(Worker{ID: e.ID, Address: address, Domain: e.Domain, Target: e.Target, Draining: e.Draining})
 		w.inRoster = true
 		w.inheritedUntil = m.inheritedLease(now)
 		m.workers[e.ID] = w
@@ -75,7 +75,7 @@
 		}
 		s.sent[w.ID] = true
 		part.Workers = append(part.Workers, record.RosterEntry{
-			ID: w.ID, Address: w.Address.String(), Domain: w.Domain, Target: w.Target,
+			ID: w.ID, Address: w.Address.String(), Domain: w.Domain, Target: w.Target, Draining: w.Draining,
 		})
 	}
 	rosters := make([]record.Roster, 0, len(parts))
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -131,6 +131,9 @@
 	}
 	if entry.Draining && !before.Draining {
 		w.drainEndsAt = now.Add(entry.Remaining)
+		if w.inRoster {
+			m.write.roster.dirty[rosterPart(w.ID)] = true
+		}
 	}
 	if !listed || before.Draining != entry.Draining || before.Capacity != entry.Capacity {
 		w.recount()
--- a/internal/wire/record/record.gen.go
+++ b/internal/wire/record/record.gen.go
@@ -51,7 +51,7 @@
 	// Attempt The attempt that the worker had or may have had.
 	Attempt int `json:"attempt"`
 
-	// Blamed It crashed soon after the start and ran tasks of no other job.
+	// Blamed The worker certainly ran the task and nothing else.
 	Blamed bool `json:"blamed,omitempty,omitzero"`
 
 	// Index The task's index in its step.
@@ -173,8 +173,11 @@
 type RosterEntry struct {
 	Address string `json:"address"`
 	Domain  string `json:"domain"`
-	ID      string `json:"id"`
-	Target  string `json:"target"`
+
+	// Draining The worker is about to leave
+	Draining bool   `json:"draining,omitempty,omitzero"`
+	ID       string `json:"id"`
+	Target   string `json:"target"`
 }
 
 // Step defines model for Step.
