--- a/internal/core/plan/crash.go
+++ b/internal/core/plan/crash.go
@@ -19,20 +19,20 @@
 	// quickCrash is how soon after its start a task crashes its worker. Crashes of
 	// workers that were seen up for longer with the task are not counted under it.
 	quickCrash = 5 * time.Second
-	// leastDowntime is the least time for which a crashed worker is away. A start that
-	// was sent later before its return was not read by the crashed incarnation.
+	// leastDowntime is the least time for which a crashed worker is away. So a start that
+	// was sent less than this before the worker's return was not read before the crash.
 	leastDowntime = time.Second
 	// freshAnswer is how old the answer of a worker may be that shows that it was up
 	// when a start was sent.
 	freshAnswer = 100 * time.Millisecond
 	// leastDurationShare is the least share of its expected duration that a task takes.
 	leastDurationShare = 0.5
-	// apartWait is how long a gang with crashes waits for workers that run nothing of
+	// isolationWait is how long a gang with crashes waits for workers that run nothing of
 	// another job.
-	apartWait = 3 * time.Second
-	// probation is how long a task under which workers have crashed has to run before
-	// tasks of other jobs are placed beside it.
-	probation = 2 * time.Second
+	isolationWait = 3 * time.Second
+	// isolationAfterStart is how long a task under which workers have crashed has to
+	// run before tasks of other jobs are placed beside it.
+	isolationAfterStart = 2 * time.Second
 	// lossWait is how long a gang waits for the return of silent workers that may have
 	// crashed under a task, and mostOpen the number of crashes and such losses from
 	// which on it waits.
@@ -84,7 +84,7 @@
 // placedBefore reports whether the run was placed on an incarnation of its worker
 // before the one that started at the given time. Rows record milliseconds.
 func (r *run) placedBefore(startedAt time.Time) bool {
-	return !r.onNewer && !r.incarnation.IsZero() && r.incarnation.UnixMilli() < startedAt.UnixMilli()
+	return !r.onNextIncarnation && !r.incarnation.IsZero() && r.incarnation.UnixMilli() < startedAt.UnixMilli()
 }
 
 // live reports whether the gang's job may still need it.
@@ -96,7 +96,7 @@
 // the run, was seen up long after it had started it, or may have left in order.
 func (m *Model) countCrash(now time.Time, r *run) {
 	w := r.worker
-	if r.gang == nil || r.over || !m.live(r.gang) || !r.mayHaveBeenRead(now) {
+	if r.gang == nil || r.incarnationEnded || !m.live(r.gang) || !r.mayHaveBeenRead(now) {
 		return
 	}
 	if w.Draining || r.wasConfirmed() && w.pollAnsweredAt.Sub(r.confirmedAt) >= quickCrash {
@@ -169,7 +169,7 @@
 		}
 	}
 	g.crashes = append(g.crashes, c)
-	g.apartUntil = now.Add(apartWait)
+	g.isolateUntil = now.Add(isolationWait)
 	tally := g.tallyCrashes(c.Index)
 	m.reportDecision(CrashCounted, g, w, fmt.Sprintf("task %d proven %v likely %v blamed %v, %d crashes, %d proven",
 		c.Index, c.Proven, c.Likely, c.Blamed, tally.all, tally.proven))
@@ -220,10 +220,10 @@
 // worker. They are stopped there, since a late start may have reached the new one.
 func (m *Model) endEarlierRuns(now time.Time, w *worker) {
 	for _, r := range w.sortedRuns() {
-		if r.gang == nil || r.over || r.phase == recovering || !r.placedBefore(w.StartedAt) {
+		if r.gang == nil || r.incarnationEnded || r.phase == recovering || !r.placedBefore(w.StartedAt) {
 			continue
 		}
-		r.over = true
+		r.incarnationEnded = true
 		r.stopAnsweredAt = time.Time{}
 		m.abortAttempt(now, r.gang, "the worker has restarted ("+w.ID+")")
 	}
@@ -233,7 +233,7 @@
 // it on an earlier incarnation of the worker, or it was on one that is not known, that
 // one has crashed under it.
 func (m *Model) loseMissing(now time.Time, r *run, reason string) {
-	if r.onNewer || r.inherited && r.placedBefore(r.worker.StartedAt) {
+	if r.onNextIncarnation || r.inherited && r.placedBefore(r.worker.StartedAt) {
 		m.countCrash(now, r)
 	}
 	m.loseRun(now, r, reason)
@@ -242,7 +242,7 @@
 // watchLost remembers a run that is given up because its worker is silent, so that
 // the worker's crash is counted if it comes back soon.
 func (m *Model) watchLost(now time.Time, r *run) {
-	if r.gang == nil || r.over || !m.live(r.gang) || !r.mayHaveBeenRead(now) {
+	if r.gang == nil || r.incarnationEnded || !m.live(r.gang) || !r.mayHaveBeenRead(now) {
 		return
 	}
 	l := &loss{gang: r.gang, task: r.task, attempt: r.attempt, until: now.Add(lossWait)}
@@ -277,15 +277,15 @@
 	return false
 }
 
-// apart reports whether the gang is kept apart from the work on the worker: because
+// isolated reports whether the gang is kept apart from the work on the worker: because
 // workers have crashed under its own tasks, or under those of a gang there that has
 // not run for long since. Urgent tasks and tasks without an end are not kept from any
 // worker: they would wait for too long.
-func apart(now time.Time, g *gang, w *worker) bool {
-	if len(g.crashes) == 0 && w.suspects == 0 || g.job.queue.Priority == 0 || g.spec().Perpetual {
+func isolated(now time.Time, g *gang, w *worker) bool {
+	if len(g.crashes) == 0 && w.runsWithCrashes == 0 || g.job.queue.Priority == 0 || g.spec().Perpetual {
 		return false
 	}
-	waits := len(g.crashes) > 0 && now.Before(g.apartUntil)
+	waits := len(g.crashes) > 0 && now.Before(g.isolateUntil)
 	if waits && w.reserved != (record.Amount{}) {
 		return true
 	}
@@ -293,7 +293,7 @@
 		if r.gang != nil && r.gang.job == g.job {
 			continue
 		}
-		if waits || r.suspect && (r.phase != running || now.Sub(r.confirmedAt) < probation) {
+		if waits || r.hadCrashes && (r.phase != running || now.Sub(r.confirmedAt) < isolationAfterStart) {
 			return true
 		}
 	}
@@ -321,7 +321,7 @@
 
 // awaitsAnswer reports whether the run's start waits for an answer of its worker.
 func (r *run) awaitsAnswer() bool {
-	return r.phase == storing && r.suspect && r.gang.storedAttempt == r.attempt
+	return r.phase == storing && r.hadCrashes && r.gang.storedAttempt == r.attempt
 }
 
 // startAwaiting starts the gangs whose start has waited for the worker's answer.
--- a/internal/core/plan/crash_test.go
+++ b/internal/core/plan/crash_test.go
@@ -24,14 +24,14 @@
 			w := newWorld(1, 12)
 			w.newName = func() bool { return newName }
 			w.run(100 * time.Millisecond)
-			deadly := job(1, "long", step(1, 2))
-			w.deadly[plan.TaskID{Job: deadly.ID}] = true
-			w.submit(deadly)
+			crashing := job(1, "long", step(1, 2))
+			w.crashing[plan.TaskID{Job: crashing.ID}] = true
+			w.submit(crashing)
 			w.run(time.Minute)
 			for _, p := range w.Problems() {
 				t.Error(p)
 			}
-			if got := w.state(deadly.ID); got != record.Failed {
+			if got := w.state(crashing.ID); got != record.Failed {
 				t.Errorf("the job is %q, want it given up", got)
 			}
 		})
@@ -40,12 +40,12 @@
 
 // Each spec describes how a worker is lost under a task.
 var _ = Describe("a task whose worker is lost", func() {
-	const deadlyNumber = 1 << 20
+	const crashingNumber = 1 << 20
 
-	// submitDeadlyJob submits a job whose first task crashes its workers.
-	submitDeadlyJob := func(w *world, s record.Step) record.Job {
-		j := job(deadlyNumber, "long", s)
-		w.deadly[plan.TaskID{Job: j.ID}] = true
+	// submitCrashingJob submits a job whose first task crashes its workers.
+	submitCrashingJob := func(w *world, s record.Step) record.Job {
+		j := job(crashingNumber, "long", s)
+		w.crashing[plan.TaskID{Job: j.ID}] = true
 		w.submit(j)
 		return j
 	}
@@ -72,14 +72,14 @@
 			w.submit(job(i+1, "long", s))
 			w.run(50 * time.Millisecond)
 			if i == 10 {
-				submitDeadlyJob(w, step(1, 1))
+				submitCrashingJob(w, step(1, 1))
 			}
 		}
 		w.run(time.Minute)
 		Expect(w.Problems()).To(BeEmpty())
 		for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
 			want := record.Completed
-			if id == job(deadlyNumber, "long", step(1, 1)).ID {
+			if id == job(crashingNumber, "long", step(1, 1)).ID {
 				want = record.Failed
 			}
 			Expect(w.state(id)).To(Equal(want), "job %s", id)
@@ -102,14 +102,14 @@
 		w := newWorld(3, 12)
 		w.newName = func() bool { return newName }
 		w.run(100 * time.Millisecond)
-		deadly := submitDeadlyJob(w, step(1, 2))
+		crashing := submitCrashingJob(w, step(1, 2))
 		for range int(time.Minute / term) {
 			w.run(term)
 			w.replaceLeader()
 		}
 		w.run(30 * time.Second)
 		Expect(w.Problems()).To(BeEmpty())
-		Expect(w.state(deadly.ID)).To(Equal(record.Failed))
+		Expect(w.state(crashing.ID)).To(Equal(record.Failed))
 	},
 		Entry("each 1.3 s", 1300*time.Millisecond, false),
 		Entry("each 2.9 s", 2900*time.Millisecond, false),
@@ -122,10 +122,10 @@
 		w := newWorld(seed, 12)
 		w.delayRate = 0.5
 		w.run(100 * time.Millisecond)
-		deadly := submitDeadlyJob(w, gangStep(3, 4))
+		crashing := submitCrashingJob(w, gangStep(3, 4))
 		w.run(100 * time.Second)
 		Expect(w.Problems()).To(BeEmpty())
-		Expect(w.state(deadly.ID)).To(Equal(record.Failed))
+		Expect(w.state(crashing.ID)).To(Equal(record.Failed))
 	}, Entry("seed 1", uint64(1)), Entry("seed 2", uint64(2)), Entry("seed 3", uint64(3)), Entry("seed 4", uint64(4)))
 
 	// Pattern: five workers in turn are cut off under a task, and none crashes.
--- a/internal/core/plan/ends.go
+++ b/internal/core/plan/ends.go
@@ -51,8 +51,8 @@
 	if r.gang != nil && report.Checkpoint != "" && r.phase != terminating {
 		r.gang.checkpoint = report.Checkpoint
 	}
-	if !r.over {
-		r.incarnation, r.onNewer = w.StartedAt, false
+	if !r.incarnationEnded {
+		r.incarnation, r.onNextIncarnation = w.StartedAt, false
 	}
 	r.progress.report(report.Percent, clock)
 	m.measurePace(now, r)
--- a/internal/core/plan/fault_test.go
+++ b/internal/core/plan/fault_test.go
@@ -29,14 +29,14 @@
 	checkUnderFaults(t, 300*time.Millisecond, 700*time.Millisecond)
 }
 
-// TestPromisesWithDeadlyTasks does the same while some tasks crash each worker that
+// TestPromisesWithCrashingTasks does the same while some tasks crash each worker that
 // starts them.
-func TestPromisesWithDeadlyTasks(t *testing.T) {
+func TestPromisesWithCrashingTasks(t *testing.T) {
 	checkEvents(t, len(randomEvents), 2*time.Second, 300*time.Millisecond)
 }
 
 func checkUnderFaults(t *testing.T, work ...time.Duration) {
-	checkEvents(t, firstDeadlyEvent, work...)
+	checkEvents(t, firstCrashingEvent, work...)
 }
 
 // checkEvents checks the promises under the first of the random events.
@@ -77,7 +77,7 @@
 	})
 }
 
-// randomEvents lists what may happen. Events before firstDeadlyEvent leave every
+// randomEvents lists what may happen. Events before firstCrashingEvent leave every
 // task harmless to its worker.
 var randomEvents = []func(t *rapid.T, w *world, f *pool.Worker, number *int){
 	submitRandom, submitRandom, submitRandom, submitRandom,
@@ -108,12 +108,12 @@
 		delay := time.Duration(rapid.IntRange(0, 2000).Draw(t, "entry delay")) * time.Millisecond
 		w.resize(f.Entry.ID, capacityOf(accelerators), delay)
 	},
-	submitDeadly, submitDeadly,
+	submitCrashing, submitCrashing,
 	func(_ *rapid.T, w *world, f *pool.Worker, _ *int) { w.crashForSeconds(f) },
 }
 
-// firstDeadlyEvent is the number of the first event with tasks that crash workers.
-const firstDeadlyEvent = 14
+// firstCrashingEvent is the number of the first event with tasks that crash workers.
+const firstCrashingEvent = 14
 
 // applyRandomEvent submits or cancels a job, or injects or ends a fault.
 func applyRandomEvent(t *rapid.T, w *world, kinds int, number *int) {
@@ -126,12 +126,12 @@
 	w.submit(randomJob(t, *number))
 }
 
-// submitDeadly submits a job of which one task crashes each worker that starts it.
-func submitDeadly(t *rapid.T, w *world, _ *pool.Worker, number *int) {
+// submitCrashing submits a job of which one task crashes each worker that starts it.
+func submitCrashing(t *rapid.T, w *world, _ *pool.Worker, number *int) {
 	*number++
 	j := randomJob(t, *number)
-	task := plan.TaskID{Job: j.ID, Index: rapid.IntRange(0, j.Steps[0].Tasks-1).Draw(t, "deadly")}
-	w.deadly[task] = true
+	task := plan.TaskID{Job: j.ID, Index: rapid.IntRange(0, j.Steps[0].Tasks-1).Draw(t, "crashing")}
+	w.crashing[task] = true
 	w.newName = func() bool { return w.random.IntN(2) == 0 }
 	w.submit(j)
 }
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -49,9 +49,9 @@
 	// losses of workers that may have been crashes.
 	crashes   []record.Crash
 	unsettled []*loss
-	// apartUntil is the time until which a gang with crashes waits for workers that
+	// isolateUntil is the time until which a gang with crashes waits for workers that
 	// run nothing of another job.
-	apartUntil time.Time
+	isolateUntil time.Time
 	// storedAttempt is the newest attempt whose places are stored.
 	storedAttempt int
 	checkpoint    string
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -240,7 +240,7 @@
 	if !overlay.allowsClaimed() && m.closedTo(now, w, g) {
 		return 0
 	}
-	if apart(now, g, w) {
+	if isolated(now, g, w) {
 		return 0
 	}
 	s := g.spec()
@@ -281,7 +281,7 @@
 	if g.job.queue.Priority == 0 {
 		return func(a, b candidate) int {
 			return cmp.Or(
-				falseFirst(a.worker.suspects > 0, b.worker.suspects > 0),
+				falseFirst(a.worker.runsWithCrashes > 0, b.worker.runsWithCrashes > 0),
 				cmp.Compare(b.worker.speed.class(), a.worker.speed.class()),
 				compareTightness(a, b),
 			)
--- a/internal/core/plan/rank.go
+++ b/internal/core/plan/rank.go
@@ -130,9 +130,9 @@
 	// spreadJob is the job of a step with a limit for each worker. For such a
 	// step, capacity depends on where the job's tasks already are.
 	spreadJob string
-	// apartJob is the job of a gang with crashes, which may use only workers that run
+	// isolatedJob is the job of a gang with crashes, which may use only workers that run
 	// nothing of another job.
-	apartJob string
+	isolatedJob string
 }
 
 func (r rankedGang) placementKey(now time.Time) placementKey {
@@ -149,7 +149,7 @@
 		key.spreadJob = g.job.spec.ID
 	}
 	if len(g.crashes) > 0 {
-		key.apartJob = g.job.spec.ID
+		key.isolatedJob = g.job.spec.ID
 	}
 	return key
 }
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -61,16 +61,16 @@
 	// incarnation that has the run has answered one.
 	clockAtStop time.Time
 	stopRead    bool
-	// onNewer is set if an incarnation has the run of which no list or poll has told
-	// yet.
-	onNewer bool
+	// onNextIncarnation is set if an incarnation has the run of which no list or poll
+	// has told yet.
+	onNextIncarnation bool
 	// inherited is set if an earlier leader placed the run.
 	inherited bool
-	// over is set once that incarnation of the worker is known to have ended. The run
-	// is then only stopped, in case a late start reaches the next one.
-	over bool
-	// suspect is set if workers had crashed under the gang's tasks before.
-	suspect bool
+	// incarnationEnded is set once that incarnation of the worker is known to have
+	// ended. The run is then only stopped, in case a late start reaches the next one.
+	incarnationEnded bool
+	// hadCrashes is set if workers had crashed under the gang's tasks before.
+	hadCrashes bool
 
 	progress progress
 	// rate is the progress in percent per second since all members were
@@ -174,8 +174,8 @@
 func (m *Model) addRun(r *run) {
 	r.worker.runs[r.task] = r
 	if r.gang != nil && len(r.gang.crashes) > 0 {
-		r.suspect = true
-		r.worker.suspects++
+		r.hadCrashes = true
+		r.worker.runsWithCrashes++
 	}
 	r.worker.recount()
 	if r.gang != nil {
@@ -264,7 +264,7 @@
 	}
 	r.startOpen = r.mayHaveStarted
 	if !msg.Clock.IsZero() && msg.Clock.Before(r.clockAtStart) {
-		r.onNewer = true
+		r.onNextIncarnation = true
 		return
 	}
 	r.worker.updateClock(now, msg.Clock)
--- a/internal/core/plan/stop.go
+++ b/internal/core/plan/stop.go
@@ -19,9 +19,9 @@
 // removeRun removes a run from its worker and gang and frees its capacity.
 func (m *Model) removeRun(r *run) {
 	delete(r.worker.runs, r.task)
-	if r.suspect {
-		r.suspect = false
-		r.worker.suspects--
+	if r.hadCrashes {
+		r.hadCrashes = false
+		r.worker.runsWithCrashes--
 	}
 	r.worker.recount()
 	m.changed = true
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -51,8 +51,8 @@
 	watchUntil time.Time
 
 	runs map[TaskID]*run
-	// suspects counts the runs of gangs under whose tasks workers have crashed.
-	suspects int
+	// runsWithCrashes counts the runs of gangs under whose tasks workers have crashed.
+	runsWithCrashes int
 	// claimedBy is the gang that holds a claim on the worker.
 	claimedBy *gang
 	// drainEndsAt is the earliest time at which a draining worker ends.
--- a/internal/core/plan/world_test.go
+++ b/internal/core/plan/world_test.go
@@ -21,7 +21,7 @@
 	callDelay   = time.Millisecond
 	writeDelay  = 8 * time.Millisecond
 	callTimeout = 900 * time.Millisecond
-	// crashDelay is how long after its start a deadly task crashes its worker, and
+	// crashDelay is how long after its start a crashing task crashes its worker, and
 	// downTime how long the worker is then away.
 	crashDelay = 10 * time.Millisecond
 	downTime   = 3300 * time.Millisecond
@@ -56,10 +56,10 @@
 	// answerLossRate is the probability that a worker's answer is lost,
 	// delayRate the probability that a request is carried out seconds late.
 	answerLossRate, delayRate float64
-	// deadly holds the tasks that crash the worker that starts them, and newName
+	// crashing holds the tasks that crash the worker that starts them, and newName
 	// reports whether a crashed worker comes back under another identifier.
-	deadly  map[plan.TaskID]bool
-	newName func() bool
+	crashing map[plan.TaskID]bool
+	newName  func() bool
 	// work returns how long a task takes.
 	work func(plan.TaskID) time.Duration
 	// fails reports whether a task ends in failure.
@@ -103,7 +103,7 @@
 		cancelled:   map[string]bool{},
 		rosters:     map[int]record.Roster{},
 		partitioned: map[string]bool{},
-		deadly:      map[plan.TaskID]bool{},
+		crashing:    map[plan.TaskID]bool{},
 		newName:     func() bool { return false },
 		work:        func(plan.TaskID) time.Duration { return 2 * time.Second },
 		fails:       func(plan.TaskID, string) bool { return false },
@@ -119,7 +119,7 @@
 	}
 	w.Pool = pool.New(w, w)
 	w.OnStart = func(f *pool.Worker, t plan.TaskID) {
-		if w.deadly[t] {
+		if w.crashing[t] {
 			w.After(crashDelay, func() { w.crashForSeconds(f) })
 		}
 	}
