An arriving answer counts as stalled after half a second, not after the delay of a repeat

Hosts on a slow link would repeat a read whose parts come more than 40 ms apart; the repeat's answer was then thrown away and its connection closed, since another answer takes the place of the first only after 0.5 s. Test: 'is not repeated while the parts of its answer are far between', 5 reads before, 1 after.

--- a/internal/edge/store/hedge.go
+++ b/internal/edge/store/hedge.go
@@ -84,7 +84,7 @@
 		case <-ctx.Done():
 			return zero, h.failure(err, context.Cause(ctx))
 		case <-timer.C:
-			if left := time.Until(h.transfers.lateAt(h.hedgeDelay)); left > 0 {
+			if left := time.Until(h.transfers.stalledAt()); left > 0 {
 				timer.Reset(left)
 				continue
 			}
--- a/internal/edge/store/transfer.go
+++ b/internal/edge/store/transfer.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// stalledAfter is how long an attempt whose answer is arriving may make no progress
-// before the answer to another attempt may arrive in its place.
+// stalledAfter is how long no part of an arriving answer may arrive before another
+// attempt is sent, and its answer may arrive in place of the first.
 const stalledAfter = 500 * time.Millisecond
 
 // transfers decides which attempt of a call may receive its large answer: one at a
@@ -55,15 +55,15 @@
 	}
 }
 
-// lateAt returns when the active attempt is late, if its answer goes on arriving for the
-// given time after each part, or zero if no answer is arriving.
-func (t *transfers) lateAt(delay time.Duration) time.Time {
+// stalledAt returns when the answer that is arriving counts as stalled unless another
+// part of it arrives, or zero if none is arriving.
+func (t *transfers) stalledAt() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.active == nil {
 		return time.Time{}
 	}
-	return t.arrivedAt.Add(delay)
+	return t.arrivedAt.Add(stalledAfter)
 }
 
 // brokenAnswers returns how many answers did not arrive whole.
--- a/internal/edge/store/transfer_test.go
+++ b/internal/edge/store/transfer_test.go
@@ -16,23 +16,21 @@
 // transferringStore answers each read with data that takes long to arrive.
 type transferringStore struct {
 	store.Store
-	// transfer is how long it takes for all data to arrive.
-	transfer time.Duration
+	// transfer is how long it takes for all data to arrive, and part the time between
+	// two parts.
+	transfer, part time.Duration
 	// silentReads is how many reads stop arriving after their first part.
 	silentReads int32
 	reads       atomic.Int32
 	ended       atomic.Int32
 }
 
-// transferPart is the time between two parts of an answer.
-const transferPart = 20 * time.Millisecond
-
 func (s *transferringStore) Range(ctx context.Context, _ store.Span, _ int) (store.Rows, error) {
 	number := s.reads.Add(1)
 	defer s.ended.Add(1)
 	for begin := time.Now(); time.Since(begin) < s.transfer; {
 		store.ReportArrival(ctx)
-		pause := transferPart
+		pause := max(s.part, 20*time.Millisecond)
 		if number <= s.silentReads {
 			pause = time.Minute
 		}
@@ -56,6 +54,14 @@
 		Expect(s.reads.Load()).To(Equal(int32(1)))
 	})
 
+	// Guards against repeats between two parts, whose answers are thrown away.
+	It("is not repeated while the parts of its answer are far between", func() {
+		s := &transferringStore{transfer: 2 * time.Second, part: 200 * time.Millisecond}
+		_, err := store.NewClient(s, &metrc.NewEntry().Store).Read(context.Background(), named("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.reads.Load()).To(Equal(int32(1)))
+	})
+
 	// Guards against waiting for a connection that has gone silent.
 	It("is repeated once its answer has stopped arriving", func() {
 		s := &transferringStore{transfer: time.Second, silentReads: 1}
