Runs that an earlier leader placed and never began do not delay their gang

Cause: when one worker of an inherited gang lacked its run, the other members were stopped, and each was waited for until its stop had been answered and a further poll, which the worker may hold for 1.2 s, had ended. A poll answered under this epoch already shows that such a run cannot begin any more. Workers with a run that is being stopped are polled often.

--- a/internal/core/plan/ends.go
+++ b/internal/core/plan/ends.go
@@ -75,7 +75,9 @@
 	m.stopRun(now, r)
 }
 
-// handleMissing handles a run that its worker should have and does not report.
+// handleMissing handles a run that its worker should have and does not report. A run
+// that an earlier leader placed can no longer begin there, since the worker has answered
+// a poll under this epoch.
 func (m *Model) handleMissing(now time.Time, r *run, polledAt time.Time) {
 	switch r.phase {
 	case storing, starting:
@@ -86,7 +88,8 @@
 			m.loseMissing(now, r, "the worker no longer has the run")
 		}
 	case terminating:
-		if !r.stopAnsweredAt.IsZero() && r.stopAnsweredAt.Before(polledAt) {
+		answered := !r.stopAnsweredAt.IsZero() && r.stopAnsweredAt.Before(polledAt)
+		if answered || r.inherited && r.confirmedAt.IsZero() {
 			m.loseMissing(now, r, "stopped")
 		}
 	}
--- a/internal/core/plan/stall.go
+++ b/internal/core/plan/stall.go
@@ -20,7 +20,8 @@
 	suspectPollWait = 300 * time.Millisecond
 	// urgentPollWait is the same while urgent gangs run on it.
 	urgentPollWait = 500 * time.Millisecond
-	// retryPollWait is the same while a start there has to be repeated.
+	// retryPollWait is the same while a start there has to be repeated or a run is being
+	// stopped, of which the worker may know nothing.
 	retryPollWait = 100 * time.Millisecond
 )
 
@@ -97,7 +98,7 @@
 		switch {
 		case r.awaitsAnswer():
 			return 0
-		case r.phase == starting && r.mayHaveStarted:
+		case r.phase == terminating, r.phase == starting && r.mayHaveStarted:
 			wait = min(wait, retryPollWait)
 		case r.gang == nil || r.phase != running:
 		case r.progress.suspect():
