--- a/internal/core/plan/stall.go
+++ b/internal/core/plan/stall.go
@@ -6,20 +6,25 @@
 )
 
 const (
-	// stallTimeout is the least time for which a stalled run has reported the same
-	// percent.
-	stallTimeout = time.Second
+	// minStallTimeout and maxStallTimeout bound the time for which a stalled run has
+	// reported the same percent. Between them it is the time that stalledWork of the
+	// task takes.
+	minStallTimeout = 400 * time.Millisecond
+	maxStallTimeout = time.Second
+	// stalledWork is a share of a task's work, large enough that a worker of a quarter of
+	// the usual speed still shows progress within it.
+	stalledWork = 0.16
 	// stallConfirm is the least time, within that, between two reports without
 	// progress. The first of them may come from a worker that was paused itself.
 	stallConfirm = 250 * time.Millisecond
-	// stallShare is the share of a task's expected duration to which both times
+	// stallShare is the share of a task's longest likely duration to which both times
 	// are extended, since long tasks take long for each percent.
 	stallShare = 0.04
 	// suspectPollWait is how long a worker may delay the answer to a poll while one
 	// of its runs reports no progress.
-	suspectPollWait = 300 * time.Millisecond
+	suspectPollWait = 200 * time.Millisecond
 	// urgentPollWait is the same while urgent gangs run on it.
-	urgentPollWait = 500 * time.Millisecond
+	urgentPollWait = 250 * time.Millisecond
 	// retryPollWait is the same while a start there has to be repeated or a run is being
 	// stopped, of which the worker may know nothing.
 	retryPollWait = 100 * time.Millisecond
@@ -72,7 +77,7 @@
 		return
 	}
 	byDuration := time.Duration(stallShare * float64(m.attemptDuration(g, stallQuantile)))
-	timeout, confirm := max(stallTimeout, byDuration), max(stallConfirm, byDuration)
+	timeout, confirm := max(m.stallTimeout(g), byDuration), max(stallConfirm, byDuration)
 	if g.resumed {
 		timeout += m.timing.Restore
 	}
@@ -91,6 +96,12 @@
 	}
 }
 
+// stallTimeout returns how long a run of the gang may report the same percent.
+func (m *Model) stallTimeout(g *gang) time.Duration {
+	timeout := time.Duration(stalledWork * float64(m.expectedAttemptDuration(g)))
+	return max(minStallTimeout, min(timeout, maxStallTimeout))
+}
+
 // pollWait returns how long the worker may delay the answer to a poll.
 func (m *Model) pollWait(w *worker) time.Duration {
 	wait := m.timing.PollWait
