--- a/internal/core/plan/ends.go
+++ b/internal/core/plan/ends.go
@@ -107,6 +107,9 @@
 		m.measureSpeed(now, g)
 		m.observeDone(now, g)
 	}
+	if r != nil && end.Kind == EndFailed {
+		m.noteQuickFailure(now, w, r)
+	}
 	if r != nil {
 		m.removeRun(r)
 	}
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -108,6 +108,8 @@
 	unfinished map[stepKey]int
 	// attempt is the highest attempt number that any gang has used.
 	attempt int
+	// quickFailedOn is the first worker on which a run of the job has failed quickly.
+	quickFailedOn *worker
 	// acceptedAt is when the job was accepted by this planner's clock. Hosts'
 	// clocks differ, so a row's own time is used only for jobs that were
 	// recorded before this leader took over.
--- a/internal/core/plan/quarantine.go
+++ b/internal/core/plan/quarantine.go
@@ -29,6 +29,10 @@
 }
 
 const (
+	// quickFailureShare is the share of its expected duration within which a run fails
+	// quickly. Tasks that fail by themselves do so at any time, those on a broken worker
+	// at once.
+	quickFailureShare = 0.05
 	// failuresBeforeQuarantine is the number of consecutive failures, of
 	// different jobs, after which a worker is quarantined.
 	failuresBeforeQuarantine = 2
@@ -36,6 +40,26 @@
 	maxQuarantine = 30 * time.Second
 )
 
+// noteQuickFailure quarantines a worker on which a run has failed quickly. If its job has
+// failed so on another worker before, the job is the likely cause, and none is quarantined.
+func (m *Model) noteQuickFailure(now time.Time, w *worker, r *run) {
+	g := r.gang
+	if m.risk.ledger != nil || g == nil || r.inherited || r.confirmedAt.IsZero() {
+		return
+	}
+	quick := time.Duration(quickFailureShare * float64(m.expectedDuration(g)))
+	if now.Sub(r.sentAt) > quick {
+		return
+	}
+	j := g.job
+	if j.quickFailedOn != nil && j.quickFailedOn != w {
+		j.quickFailedOn.quarantinedUntil = time.Time{}
+		return
+	}
+	j.quickFailedOn = w
+	w.consecutiveFailures = max(w.consecutiveFailures, failuresBeforeQuarantine-1)
+}
+
 // note adds an event of a worker to the ledger.
 func (m *Model) note(now time.Time, w *worker, kind trust.Kind) {
 	if m.risk.ledger != nil {
