--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -299,6 +299,10 @@
 			d.InputAge = m.now.Sub(w.polledAt)
 		}
 	}
+	if kind == JobEnded {
+		d.Priority, d.AcceptedAt = g.job.queue.Priority, g.job.acceptedAt
+		d.Due, _ = m.deadlines(g.job)
+	}
 	if kind == Placed || kind == Preempted {
 		d.FreeAccelerators, d.IdleWorkers = m.view.free, m.view.idle
 	}
--- a/internal/edge/fleet/decision.go
+++ b/internal/edge/fleet/decision.go
@@ -50,6 +50,9 @@
 	if d.Kind == plan.JobStarted {
 		line = line.Dur("delay-ms", d.Delay)
 	}
+	if d.Kind == plan.JobEnded {
+		line = line.Int("priority", d.Priority).Time("accepted-at", d.AcceptedAt).Time("due", d.Due)
+	}
 	line.Str("detail", d.Detail).Send()
 }
 
