Store: a late change is looked up before it is sent again

Cause: a change without an answer was repeated after 40 ms and soon again, up to eight times. Now the call reads first whether the change was committed. A prompt answer that it was not leads to a repeat, as before; a late one shows that the store is slow.

--- a/internal/edge/store/client.go
+++ b/internal/edge/store/client.go
@@ -247,6 +247,7 @@
 	call := newHedgedCall(hedgeLatencyFactor*c.MeanLatency(), func() func(context.Context) (Outcome, error) {
 		return func(attempt context.Context) (Outcome, error) { return c.Transact(attempt, change) }
 	})
+	call.probe = c.probe(Row{Key: row.Key})
 	call.refusalDeadline = time.Now().Add(refusalTimeout)
 	outcome, err := call.run(ctx)
 	switch {
@@ -263,6 +264,26 @@
 	}
 }
 
+// probe returns a function that reads whether a row has changed since it had the given
+// version. If it has, the outcome holds the row as it is now.
+func (c *Client) probe(known Row) func(context.Context) (Outcome, error) {
+	span := Span{Table: known.Key.Table, Part: known.Key.Part, From: known.Key.Name, To: known.Key.Name + "\x00"}
+	return func(ctx context.Context) (Outcome, error) {
+		rows, err := c.Range(ctx, span, 1)
+		if err != nil {
+			return Outcome{}, err
+		}
+		current := Row{Key: known.Key}
+		if len(rows.Rows) > 0 {
+			current = rows.Rows[0]
+		}
+		if current.Version == known.Version {
+			return Outcome{}, errUnchanged
+		}
+		return Outcome{Clock: rows.Clock, Current: []Row{current}}, nil
+	}
+}
+
 // currentRow returns the row with the key from an outcome's current rows.
 func currentRow(outcome Outcome, key Key) Row {
 	for _, r := range outcome.Current {
--- a/internal/edge/store/hedge.go
+++ b/internal/edge/store/hedge.go
@@ -31,10 +31,16 @@
 	maxBackoff = 250 * time.Millisecond
 )
 
-// attemptResult is the result of one attempt of a call.
+// errUnchanged means that a probe found the change of a call not committed so far.
+var errUnchanged = errors.New("change is not committed so far")
+
+// attemptResult is the result of one attempt of a call, or of one probe.
 type attemptResult[T any] struct {
 	value T
 	err   error
+	probe bool
+	// prompt is set if a probe was answered in a time in which a change would have been.
+	prompt bool
 }
 
 // hedgedCall sends further attempts of a call while earlier ones are late and still
@@ -43,15 +49,23 @@
 // The first answer counts. All attempts have the same effect, and at most one of
 // them takes effect. While a large answer arrives no other attempt is sent, which would
 // take its share of the network.
+//
+// A call with a probe reads what became of a late attempt before it sends another. The
+// store carries out the changes of one part one after the other, so repeats of a change
+// that waits there delay it and all that follow. An answer to the probe that is late as
+// well shows that the store is slow, and that the attempt is still waited for.
 type hedgedCall[T any] struct {
 	// newAttempt prepares an attempt.
 	newAttempt func() func(context.Context) (T, error)
+	// probe returns the outcome of the call if an attempt has taken effect, and
+	// errUnchanged if none has so far; nil if attempts are repeated without a probe.
+	probe func(context.Context) (T, error)
 	// refusalDeadline is when a call that the store refuses is given up; zero means
 	// never.
 	refusalDeadline time.Time
 
 	hedgeDelay, backoff time.Duration
-	inFlight            int
+	inFlight, probes    int
 	// mayHaveApplied is set once an attempt got no answer and so may have taken
 	// effect.
 	mayHaveApplied bool
@@ -66,7 +80,7 @@
 		newAttempt: newAttempt,
 		hedgeDelay: max(minHedgeDelay, min(delay, maxHedgeDelay)),
 		backoff:    minBackoff,
-		results:    make(chan attemptResult[T], maxAttemptsInFlight),
+		results:    make(chan attemptResult[T], 2*maxAttemptsInFlight),
 	}
 }
 
@@ -94,10 +108,20 @@
 				}
 				continue
 			}
-			h.send(ctx)
+			h.sendNext(ctx)
 			h.hedgeDelay = min(time.Duration(hedgeDelayGrowth*float64(h.hedgeDelay)), maxHedgeDelay)
 			timer.Reset(h.hedgeDelay)
 		case r := <-h.results:
+			if r.probe {
+				h.probes--
+				if r.err == nil {
+					return r.value, nil
+				}
+				if r.prompt && errors.Is(r.err, errUnchanged) {
+					h.send(ctx)
+				}
+				continue
+			}
 			h.inFlight--
 			if IsFinal(r.err) {
 				return r.value, r.err
@@ -158,7 +182,28 @@
 			}
 		}))
 		h.transfers.attemptEnded(answer, err)
-		results <- attemptResult[T]{value, err}
+		results <- attemptResult[T]{value: value, err: err}
+	}()
+}
+
+// sendNext sends what the call does next while an attempt is late: a probe if it has one
+// and an attempt is under way, else another attempt.
+func (h *hedgedCall[T]) sendNext(ctx context.Context) {
+	if h.probe == nil || h.inFlight == 0 {
+		h.send(ctx)
+		return
+	}
+	if h.probes >= maxAttemptsInFlight {
+		return
+	}
+	h.probes++
+	probe, results, prompt := h.probe, h.results, h.hedgeDelay
+	go func() {
+		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), attemptTimeout)
+		defer cancel()
+		sentAt := time.Now()
+		value, err := probe(limited)
+		results <- attemptResult[T]{value: value, err: err, probe: true, prompt: time.Since(sentAt) < prompt}
 	}()
 }
 
--- a/internal/edge/store/insert_test.go
+++ b/internal/edge/store/insert_test.go
@@ -29,6 +29,11 @@
 	return store.Outcome{}, a.err
 }
 
+// Range finds nothing stored.
+func (s scriptedStore) Range(context.Context, store.Span, int) (store.Rows, error) {
+	return store.Rows{}, nil
+}
+
 // Guards against a caller who is told that a job was not stored while an earlier
 // attempt without an answer may have stored it.
 func TestInvalidAfterUnanswered(t *testing.T) {
--- a/internal/edge/store/store_test.go
+++ b/internal/edge/store/store_test.go
@@ -215,6 +215,11 @@
 	return store.Outcome{}, store.ErrRefused
 }
 
+func (s refusingStore) Range(context.Context, store.Span, int) (store.Rows, error) {
+	time.Sleep(s.delay)
+	return store.Rows{}, store.ErrRefused
+}
+
 var _ = Describe("an insert", func() {
 	// Fault: connections to the store cannot be opened, and each attempt takes long
 	// to find that out, while further attempts are sent beside it.
--- a/internal/edge/store/writer.go
+++ b/internal/edge/store/writer.go
@@ -83,11 +83,13 @@
 		}
 		var tried [][]byte
 		delay := hedgeLatencyFactor*w.client.MeanLatency() + sendTime(change)
-		outcome, err := newHedgedCall(delay, func() func(context.Context) (Outcome, error) {
+		call := newHedgedCall(delay, func() func(context.Context) (Outcome, error) {
 			tried = append(tried, value())
 			fenced := w.withFenceRow(change, tried[len(tried)-1])
 			return func(attempt context.Context) (Outcome, error) { return w.client.Transact(attempt, fenced) }
-		}).run(ctx)
+		})
+		call.probe = w.client.probe(Row{Key: w.key, Version: w.version})
+		outcome, err := call.run(ctx)
 		switch {
 		case errors.Is(err, ErrInvalid):
 			return Outcome{}, err
