explain-late: tell from hosts' logs why jobs ended late

A line job-ended says when the job was accepted and due. The planner's due time rests on expected run times; it is a guide, not a promise.

--- a/internal/core/plan/cmd.go
+++ b/internal/core/plan/cmd.go
@@ -137,8 +137,9 @@
 	IdleWorkers      int
 	// Delay is the time from the acceptance of a job to its first start.
 	Delay time.Duration
-	// Priority, AcceptedAt and Due are those of the job, for JobEnded. Due is when the job
-	// has to end to be in time.
+	// Team, Priority, AcceptedAt and Due are those of the job, for JobEnded. Due is when
+	// the job has to end to be in time.
+	Team            string
 	Priority        int
 	AcceptedAt, Due time.Time
 	// InputAge is how long ago the newest answered poll of the worker was sent.
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -300,7 +300,7 @@
 		}
 	}
 	if kind == JobEnded {
-		d.Priority, d.AcceptedAt = g.job.queue.Priority, g.job.acceptedAt
+		d.Team, d.Priority, d.AcceptedAt = g.job.spec.Team, g.job.queue.Priority, g.job.acceptedAt
 		d.Due, _ = m.deadlines(g.job)
 	}
 	if kind == Placed || kind == Preempted {
--- a/internal/edge/fleet/decision.go
+++ b/internal/edge/fleet/decision.go
@@ -51,7 +51,7 @@
 		line = line.Dur("delay-ms", d.Delay)
 	}
 	if d.Kind == plan.JobEnded {
-		line = line.Int("priority", d.Priority).Time("accepted-at", d.AcceptedAt).Time("due", d.Due)
+		line = line.Str("team", d.Team).Int("priority", d.Priority).Time("accepted-at", d.AcceptedAt).Time("due", d.Due)
 	}
 	line.Str("detail", d.Detail).Send()
 }
--- a/internal/ops/verbs/verbs.go
+++ b/internal/ops/verbs/verbs.go
@@ -104,6 +104,7 @@
 	root.AddCommand(
 		a.serveCommand(), a.submitCommand(), a.cancelCommand(), a.jobCommand(), a.callCommand(),
 		a.domainCommand(), a.workerCommand(), a.teamCommand(), a.configCommand(), a.documentCommand(), a.hostsCommand(), a.explainCommand(),
+		a.explainLateCommand(),
 	)
 	return root
 }
