--- a/internal/core/plan/stall_test.go
+++ b/internal/core/plan/stall_test.go
@@ -36,6 +36,25 @@
 		Expect(w.state(j.ID)).To(Equal(record.Completed))
 	})
 
+	// Pattern: tasks on a worker stand still from their start. The gang of 2.5 s has 1.5 s
+	// of slack, in which the stall has to be noticed, the members stopped and started again.
+	It("is started elsewhere within the slack of a short urgent gang", func() {
+		w := newWorld(1, 12)
+		w.work = func(plan.TaskID) time.Duration { return 2500 * time.Millisecond }
+		w.run(100 * time.Millisecond)
+		urgent := gangStep(4, 8)
+		urgent.EstimateMillis = 2500
+		j := job(1, "urgent", urgent)
+		w.submit(j)
+		w.run(50 * time.Millisecond)
+		for _, id := range w.IDs() {
+			w.Worker(id).Hung = w.Worker(id).Running() > 0
+		}
+		w.run(1450 * time.Millisecond)
+		Expect(w.Starts(plan.TaskID{Job: j.ID})).To(Equal(2))
+		Expect(w.Problems()).To(BeEmpty())
+	})
+
 	// A percent of a task of hours takes minutes.
 	It("is left alone as long as its length explains it", func() {
 		w := newWorld(1, 2)
