Mechanisms of the planner can be left out one by one

Cause: what each mechanism is worth could only be measured by editing the code. scheduling.without in a host's settings names mechanisms that its planner leaves out; those that keep a promise are not among them. With nothing named no decision changes.

--- a/internal/core/plan/ageing.go
+++ b/internal/core/plan/ageing.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rattanshore/rattanshore/internal/core/ablate"
 	"github.com/rattanshore/rattanshore/internal/core/amount"
 )
 
@@ -49,6 +50,9 @@
 // to the overdue share of each target. A gang that is larger than that share is
 // moved forward if none is waiting before it.
 func (m *Model) ageRanked(now time.Time, ranked []rankedGang) {
+	if m.policy.Without.Has(ablate.Ageing) {
+		return
+	}
 	var old []*rankedGang
 	for i := range ranked {
 		r := &ranked[i]
--- a/internal/core/plan/claim.go
+++ b/internal/core/plan/claim.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rattanshore/rattanshore/internal/core/ablate"
 	"github.com/rattanshore/rattanshore/internal/core/amount"
 	"github.com/rattanshore/rattanshore/internal/wire/record"
 )
@@ -42,6 +43,9 @@
 // is wide.
 func (m *Model) claimFor(now time.Time, r rankedGang) {
 	g := r.gang
+	if m.policy.Without.Has(ablate.Claims) {
+		return
+	}
 	if len(g.claim.workers) > 0 {
 		g.claim.ageing = max(g.claim.ageing, r.ageing)
 		return
--- a/internal/core/plan/ends.go
+++ b/internal/core/plan/ends.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rattanshore/rattanshore/internal/core/ablate"
 	"github.com/rattanshore/rattanshore/internal/wire/record"
 )
 
@@ -145,7 +146,9 @@
 	case EndDone:
 		w.consecutiveFailures = 0
 		w.quarantines = 0
-		m.estimator.observeEnd(now, g)
+		if !m.policy.Without.Has(ablate.MeanRunTimes) {
+			m.estimator.observeEnd(now, g)
+		}
 		m.gangDone(now, g, end.Attempt)
 	case EndFailed:
 		m.runFailed(now, g, w, end.Attempt)
--- a/internal/core/plan/headroom.go
+++ b/internal/core/plan/headroom.go
@@ -1,6 +1,10 @@
 package plan
 
-import "time"
+import (
+	"time"
+
+	"github.com/rattanshore/rattanshore/internal/core/ablate"
+)
 
 const (
 	// headroomSpan is the length of time for whose expected urgent arrivals
@@ -36,6 +40,9 @@
 // headroom returns how many accelerators on idle workers are to be kept free
 // for urgent gangs.
 func (m *Model) headroom(now time.Time) float64 {
+	if m.policy.Without.Has(ablate.Headroom) {
+		return 0
+	}
 	m.urgent.decay(now)
 	return m.urgent.perSecond * headroomSpan.Seconds()
 }
--- a/internal/core/plan/pace.go
+++ b/internal/core/plan/pace.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/rattanshore/rattanshore/internal/core/ablate"
 )
 
 const (
@@ -31,7 +33,7 @@
 		return
 	}
 	g.noteRunning(now, r)
-	if r.progress.percent >= donePercent {
+	if r.progress.percent >= donePercent || m.policy.Without.Has(ablate.SlowWorkers) {
 		return
 	}
 	if span := now.Sub(g.allRunningAt); span >= minPaceSpan {
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -11,6 +11,7 @@
 import (
 	"time"
 
+	"github.com/rattanshore/rattanshore/internal/core/ablate"
 	"github.com/rattanshore/rattanshore/internal/core/rules"
 	"github.com/rattanshore/rattanshore/internal/core/sets"
 	"github.com/rattanshore/rattanshore/internal/core/share"
@@ -75,6 +76,8 @@
 	// RefuseLate makes the planner compute the digest by which hosts refuse jobs under
 	// overload.
 	RefuseLate bool
+	// Without names the mechanisms that are left out.
+	Without ablate.Set
 }
 
 // DefaultTiming returns the timing before the settings are applied.
--- a/internal/core/plan/preempt.go
+++ b/internal/core/plan/preempt.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/rattanshore/rattanshore/internal/core/ablate"
 	"github.com/rattanshore/rattanshore/internal/core/amount"
 	"github.com/rattanshore/rattanshore/internal/wire/record"
 )
@@ -45,7 +46,7 @@
 		return false
 	}
 	gain := m.preemptionGain(now, g)
-	if !forced && gain <= 0 {
+	if !forced && (gain <= 0 || m.policy.Without.Has(ablate.Preemption)) {
 		return false
 	}
 	if m.beyondRate(g.job) && !forced {
--- a/internal/core/plan/quarantine.go
+++ b/internal/core/plan/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rattanshore/rattanshore/internal/core/ablate"
 	"github.com/rattanshore/rattanshore/internal/core/trust"
 )
 
@@ -14,7 +15,7 @@
 		m.noteStalled(now, w, job)
 		return
 	}
-	if w.lastFailedJob == job {
+	if w.lastFailedJob == job || m.policy.Without.Has(ablate.Quarantine) {
 		return
 	}
 	w.lastFailedJob = job
@@ -44,7 +45,7 @@
 // failed so on another worker before, the job is the likely cause, and none is quarantined.
 func (m *Model) noteQuickFailure(now time.Time, w *worker, r *run) {
 	g := r.gang
-	if m.risk.ledger != nil || g == nil || r.inherited || r.confirmedAt.IsZero() {
+	if m.risk.ledger != nil || m.policy.Without.Has(ablate.QuickFailures) || g == nil || r.inherited || r.confirmedAt.IsZero() {
 		return
 	}
 	quick := time.Duration(quickFailureShare * float64(m.expectedDuration(g)))
--- a/internal/core/plan/speed.go
+++ b/internal/core/plan/speed.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/rattanshore/rattanshore/internal/core/ablate"
 )
 
 const (
@@ -46,7 +48,7 @@
 // measureSpeed updates the speeds of the workers of a gang that is done, by
 // comparing its members with each other and with other tasks of the step.
 func (m *Model) measureSpeed(now time.Time, g *gang) {
-	if g.resumed || g.poorLocality || g.allRunningAt.IsZero() {
+	if g.resumed || g.poorLocality || g.allRunningAt.IsZero() || m.policy.Without.Has(ablate.SpeedClasses) {
 		return
 	}
 	g.setFinalRate(now)
--- a/internal/core/plan/stall.go
+++ b/internal/core/plan/stall.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"github.com/rattanshore/rattanshore/internal/core/ablate"
 )
 
 const (
@@ -73,7 +75,7 @@
 	if !g.allRunning() || g.spec().Perpetual {
 		return
 	}
-	if m.leaveDraining(now, g) || m.leaveSlow(now, g) {
+	if m.leaveDraining(now, g) || m.leaveSlow(now, g) || m.policy.Without.Has(ablate.Stalls) {
 		return
 	}
 	byDuration := time.Duration(stallShare * float64(m.attemptDuration(g, stallQuantile)))
--- a/internal/core/plan/yield.go
+++ b/internal/core/plan/yield.go
@@ -1,6 +1,10 @@
 package plan
 
-import "time"
+import (
+	"time"
+
+	"github.com/rattanshore/rattanshore/internal/core/ablate"
+)
 
 // noteWaiting records that a gang could not be placed in the pass for want of room.
 // Gangs that wait for something else, or would not fit on empty workers, are left out.
@@ -18,5 +22,5 @@
 // waits for more, since it has time left itself.
 func (m *Model) yields(now time.Time, r rankedGang) bool {
 	p, waits := m.view.mostUrgent[r.gang.job.queue.Target]
-	return waits && p < r.priority && !m.mayUseHeadroom(now, r)
+	return !m.policy.Without.Has(ablate.Yielding) && waits && p < r.priority && !m.mayUseHeadroom(now, r)
 }
--- a/internal/edge/fleet/election.go
+++ b/internal/edge/fleet/election.go
@@ -159,6 +159,7 @@
 		LearnRunTimes: s.LearnRunTimes,
 		WorkerRisk:    s.WorkerRisk,
 		RefuseLate:    s.RefuseLate,
+		Without:       s.Without,
 		Value:         plan.ValuePolicy{PriorityRatio: s.PriorityRatio, LateShare: s.LateShare, LateLimit: s.LateLimit},
 	}
 }
--- a/internal/ops/setng/fleet.go
+++ b/internal/ops/setng/fleet.go
@@ -8,6 +8,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"go.yaml.in/yaml/v3"
+
+	"github.com/rattanshore/rattanshore/internal/core/ablate"
 )
 
 // Fleet holds the settings of a host that runs with --fleet: it schedules the
@@ -87,6 +89,9 @@
 	LateShare float64 `yaml:"late-share"`
 	// LateLimit is after how many times its objective a late job is of no use.
 	LateLimit float64 `yaml:"late-limit"`
+	// Without names mechanisms of the planner that are left out, to measure what each is
+	// worth; see package ablate.
+	Without ablate.Set `yaml:"without"`
 }
 
 // DefaultFleet returns the defaults for keys that a settings file leaves out.
--- a/internal/ops/setng/setng_test.go
+++ b/internal/ops/setng/setng_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/rattanshore/rattanshore/internal/core/ablate"
 	"github.com/rattanshore/rattanshore/internal/ops/setng"
 )
 
@@ -107,3 +108,15 @@
 		}
 	}
 }
+
+// Guards against a trial whose misspelled mechanism is not left out.
+func TestFleetMechanisms(t *testing.T) {
+	text := "host: {id: h, failure-domain: hall-a}\nlisten: {callers: '127.0.0.1:1', ready: '127.0.0.1:2', peers: '127.0.0.1:3'}\nstore: '127.0.0.1:4'\n"
+	f, err := setng.ParseFleet("f", []byte(text+"scheduling: {without: 'claims,stalls'}\n"))
+	if err != nil || f.Scheduling.Without != ablate.Claims|ablate.Stalls {
+		t.Errorf("got %v, error %v", f.Scheduling.Without, err)
+	}
+	if _, err := setng.ParseFleet("f", []byte(text+"scheduling: {without: claim}\n")); err == nil || !strings.Contains(err.Error(), "no such mechanism") {
+		t.Errorf("unknown mechanism: %v", err)
+	}
+}
