--- a/internal/core/plan/pace.go
+++ b/internal/core/plan/pace.go
@@ -11,7 +11,7 @@
 	// donePercent is the percent that a run reports when it has done its part.
 	donePercent = 100
 	// minPaceSpan is the least time over which a run's pace is measured.
-	minPaceSpan = 400 * time.Millisecond
+	minPaceSpan = 700 * time.Millisecond
 	// slowPace is the pace below which a run is slow.
 	slowPace = 0.35
 	// slowSamples is the number of consecutive slow measurements, against
