--- a/internal/ops/logev/logev.go
+++ b/internal/ops/logev/logev.go
@@ -147,7 +147,7 @@
 	{GangTaken, "gang-taken", zerolog.InfoLevel, "The shard's new owner, or the new leader, has adopted a running gang with all its members."},
 	{GangEvacuated, "gang-evacuated", zerolog.InfoLevel, "A gang is stopped because its failure domain is out of service, and waits again."},
 	{TaskEnded, "task-ended", zerolog.InfoLevel, "A task, or a gang, has completed successfully."},
-	{JobEnded, "job-ended", zerolog.InfoLevel, "A job of steps has reached its final state."},
+	{JobEnded, "job-ended", zerolog.InfoLevel, "A job of steps has reached its final state; the line tells when it was accepted and when it was due."},
 	{WorkerSilent, "worker-silent", zerolog.WarnLevel, "A worker does not answer or has restarted; the detail says which."},
 	{JobStarted, "job-started", zerolog.InfoLevel, "The first gang of a job runs; the delay counts from when the job was accepted."},
 	{WorkersClaimed, "workers-claimed", zerolog.InfoLevel, "Workers are reserved for a wide gang until it fits on them."},
