Store: a looked-up change is not repeated after the refusal deadline or during a backoff

Cause: a prompt answer to the lookup sent another attempt at once, also when the last attempt had just been refused and the call was waiting, or its deadline had passed. Found by reading; the specs of refusals and of looked-up changes hold before and after.

--- a/internal/edge/store/hedge.go
+++ b/internal/edge/store/hedge.go
@@ -117,7 +117,8 @@
 				if r.err == nil {
 					return r.value, nil
 				}
-				if r.prompt && errors.Is(r.err, errUnchanged) {
+				refused := err != nil && h.refused(time.Now())
+				if r.prompt && errors.Is(r.err, errUnchanged) && h.inFlight > 0 && !refused {
 					h.send(ctx)
 				}
 				continue
