--- a/internal/edge/store/hedge.go
+++ b/internal/edge/store/hedge.go
@@ -113,14 +113,9 @@
 			timer.Reset(h.hedgeDelay)
 		case r := <-h.results:
 			if r.probe {
-				h.probes--
-				if r.err == nil {
+				if h.probed(ctx, r, err) {
 					return r.value, nil
 				}
-				refused := err != nil && h.refused(time.Now())
-				if r.prompt && errors.Is(r.err, errUnchanged) && h.inFlight > 0 && !refused {
-					h.send(ctx)
-				}
 				continue
 			}
 			h.inFlight--
@@ -128,18 +123,13 @@
 				return r.value, r.err
 			}
 			err = r.err
-			h.mayHaveApplied = h.mayHaveApplied || !errors.Is(err, ErrRefused)
-			if h.transfers.brokenAnswers() >= maxBrokenAnswers {
+			pause, failed := h.attemptFailed(err)
+			if failed {
 				return r.value, h.failure(err, nil)
 			}
-			if h.inFlight > 0 {
-				continue
-			}
-			pause := h.nextBackoff()
-			if h.refused(time.Now().Add(pause)) {
-				return r.value, h.failure(err, nil)
+			if pause > 0 {
+				timer.Reset(pause)
 			}
-			timer.Reset(pause)
 		}
 	}
 }
@@ -208,6 +198,35 @@
 	}()
 }
 
+// attemptFailed handles an attempt without a final answer. It returns the pause until the
+// next attempt, 0 while others are under way, or that the call has failed.
+func (h *hedgedCall[T]) attemptFailed(err error) (pause time.Duration, failed bool) {
+	h.mayHaveApplied = h.mayHaveApplied || !errors.Is(err, ErrRefused)
+	if h.transfers.brokenAnswers() >= maxBrokenAnswers {
+		return 0, true
+	}
+	if h.inFlight > 0 {
+		return 0, false
+	}
+	pause = h.nextBackoff()
+	return pause, h.refused(time.Now().Add(pause))
+}
+
+// probed handles the end of a probe and reports whether it tells the outcome. last is the
+// error of the last attempt, if any. A prompt answer that nothing was committed leads to
+// another attempt.
+func (h *hedgedCall[T]) probed(ctx context.Context, r attemptResult[T], last error) bool {
+	h.probes--
+	if r.err == nil {
+		return true
+	}
+	refused := last != nil && h.refused(time.Now())
+	if r.prompt && errors.Is(r.err, errUnchanged) && h.inFlight > 0 && !refused {
+		h.send(ctx)
+	}
+	return false
+}
+
 // nextBackoff returns the pause after a refused attempt: exponential, with jitter.
 func (h *hedgedCall[T]) nextBackoff() time.Duration {
 	pause := h.backoff/2 + rand.N(h.backoff)
--- a/internal/ops/delays/delays.go
+++ b/internal/ops/delays/delays.go
@@ -171,6 +171,7 @@
 		g.waitsFor = cause
 	case logev.TaskEnded:
 		g.since, g.waitsFor = l.Time, ""
+	default:
 	}
 }
 
--- a/internal/ops/delays/merge.go
+++ b/internal/ops/delays/merge.go
@@ -6,13 +6,15 @@
 	"encoding/json"
 	"io"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
 	// readBuffer is the size of a source's buffer, in bytes. A longer line is damaged.
 	readBuffer = 1 << 20
-	// timeKey begins the part of a line that every log line has.
-	timeKey = `"event":`
+	// eventKey is what each log line has and no other line.
+	eventKey = `"event":`
 )
 
 // Damage tells of the lines of a source that could not be read.
@@ -45,7 +47,7 @@
 
 // Err returns the error that ended the source, nil if it was read to its end.
 func (s *Source) Err() error {
-	if s.err == io.EOF {
+	if errors.Is(s.err, io.EOF) {
 		return nil
 	}
 	return s.err
@@ -60,7 +62,7 @@
 			s.err = err
 		}
 		begin := bytes.IndexByte(text, '{')
-		if begin < 0 || !bytes.Contains(text[begin:], []byte(timeKey)) {
+		if begin < 0 || !bytes.Contains(text[begin:], []byte(eventKey)) {
 			continue
 		}
 		s.next = Line{}
@@ -77,11 +79,11 @@
 func (s *Source) readLine() ([]byte, error) {
 	s.number++
 	text, err := s.reader.ReadSlice('\n')
-	if err != bufio.ErrBufferFull {
+	if !errors.Is(err, bufio.ErrBufferFull) {
 		return text, err
 	}
 	s.countDamage()
-	for err == bufio.ErrBufferFull {
+	for errors.Is(err, bufio.ErrBufferFull) {
 		_, err = s.reader.ReadSlice('\n')
 	}
 	return nil, err
--- a/internal/ops/verbs/late.go
+++ b/internal/ops/verbs/late.go
@@ -40,7 +40,7 @@
 		if err != nil {
 			return usageError("%v", err)
 		}
-		defer file.Close()
+		defer func() { _ = file.Close() }() // only read
 		sources = append(sources, delays.NewSource(path, file))
 	}
 	reader, tally := delays.New(), delays.NewTally()
@@ -62,11 +62,11 @@
 	for _, s := range sources {
 		if d := s.Damage(); d.Lines > 0 {
 			failed = errors.Newf("%s:%d: the first of %d lines that cannot be read", d.Source, d.First, d.Lines)
-			fmt.Fprintln(out, failed)
+			_, _ = fmt.Fprintln(out, failed)
 		}
 		if s.Err() != nil {
 			failed = errors.Wrapf(s.Err(), "read %s", s.Damage().Source)
-			fmt.Fprintln(out, failed)
+			_, _ = fmt.Fprintln(out, failed)
 		}
 	}
 	switch {
