--- a/internal/ops/audit/read.go
+++ b/internal/ops/audit/read.go
@@ -20,11 +20,16 @@
 	if f, ok := otherKind(tree); ok {
 		return document, tree, false, []Finding{f}
 	}
-	findings := Structure(tree.Check(document), func(place.Problem) Severity { return Error })
-	if len(findings) > 0 {
-		return document, tree, false, findings
+	// The two passes over a large document take about as long as each other.
+	checked := make(chan []Finding)
+	go func() {
+		checked <- Structure(tree.Check(schema.ConfigDocument{}), func(place.Problem) Severity { return Error })
+	}()
+	err = decodeStrict(tree.JSON(), &document)
+	if findings := <-checked; len(findings) > 0 {
+		return schema.ConfigDocument{}, tree, false, findings
 	}
-	if err := decodeStrict(tree.JSON(), &document); err != nil {
+	if err != nil {
 		return document, tree, false, []Finding{Syntax(tree.Find(), err)}
 	}
 	return document, tree, true, nil
--- a/internal/ops/place/json.go
+++ b/internal/ops/place/json.go
@@ -105,18 +105,27 @@
 // word reads a number, true, false or null.
 func (r *jsonReader) word() string {
 	start := r.at
-	for r.at < len(r.text) && !strings.ContainsRune(",]} \t\r\n", rune(r.text[r.at])) {
+	for r.at < len(r.text) && !isSpace(r.text[r.at]) && !isClosing(r.text[r.at]) {
 		r.at++
 	}
 	return r.text[start:r.at]
 }
 
 func (r *jsonReader) skipSpace() {
-	for r.at < len(r.text) && strings.IndexByte(" \t\r\n", r.text[r.at]) >= 0 {
+	for r.at < len(r.text) && isSpace(r.text[r.at]) {
 		r.at++
 	}
 }
 
+func isSpace(c byte) bool {
+	return c == ' ' || c == '\t' || c == '\r' || c == '\n'
+}
+
+// isClosing reports whether a byte ends a number or a word without a space.
+func isClosing(c byte) bool {
+	return c == ',' || c == ']' || c == '}'
+}
+
 func kindOfWord(word string) Kind {
 	switch word {
 	case "null":
--- a/internal/ops/place/shape.go
+++ b/internal/ops/place/shape.go
@@ -30,20 +30,33 @@
 // Check compares a tree with the type that the document is decoded into, by the
 // JSON names of its fields.
 func (t *Tree) Check(target any) []Problem {
-	c := checker{tree: t, fields: map[reflect.Type][]field{}}
-	c.value(root, reflect.TypeOf(target), nil)
+	c := checker{tree: t, shapes: map[reflect.Type]shape{}}
+	c.value(root, reflect.TypeOf(target), make([]any, 0, usualDepth))
 	return c.problems
 }
 
-// field is a field of a struct with its JSON name.
+// usualDepth is how deep the values of most documents are nested.
+const usualDepth = 8
+
+// field is a field of a struct with its JSON name. The step leads to it, and is
+// the name again, so that it is not converted for each value.
 type field struct {
 	name   string
+	step   any
 	target reflect.Type
 }
 
+// shape is what a type expects of a value.
+type shape struct {
+	// custom is nil if the type does not decode itself.
+	custom Custom
+	// fields are those of a struct.
+	fields []field
+}
+
 type checker struct {
 	tree     *Tree
-	fields   map[reflect.Type][]field
+	shapes   map[reflect.Type]shape
 	problems []Problem
 }
 
@@ -53,12 +66,12 @@
 )
 
 func (c *checker) value(at int32, target reflect.Type, steps []any) {
-	n := c.tree.nodes[at]
+	n := &c.tree.nodes[at]
 	if n.kind == Null || target == rawType {
 		return
 	}
-	if target.Implements(customType) {
-		c.custom(at, target, steps)
+	if custom := c.shapeOf(target).custom; custom != nil {
+		c.custom(at, target, custom, steps)
 		return
 	}
 	switch target.Kind() {
@@ -99,9 +112,9 @@
 	}
 }
 
-func (c *checker) custom(at int32, target reflect.Type, steps []any) {
-	n := c.tree.nodes[at]
-	problem, want := reflect.Zero(target).Interface().(Custom).Misfit(n.kind, n.text)
+func (c *checker) custom(at int32, target reflect.Type, custom Custom, steps []any) {
+	n := &c.tree.nodes[at]
+	problem, want := custom.Misfit(n.kind, n.text)
 	if problem != "" {
 		c.report(at, steps, problem, want)
 		return
@@ -121,7 +134,7 @@
 }
 
 func (c *checker) object(at int32, target reflect.Type, steps []any) {
-	fields := c.fieldsOf(target)
+	fields := c.shapeOf(target).fields
 	children := c.tree.nodes[at].children
 	for i, child := range children {
 		// A mapping without unknown keys has at most as many entries as the type
@@ -139,7 +152,7 @@
 			c.problems[len(c.problems)-1].Unknown = true
 			continue
 		}
-		c.value(child, f.target, append(steps, f.name))
+		c.value(child, f.target, append(steps, f.step))
 	}
 }
 
@@ -155,17 +168,28 @@
 	c.problems = append(c.problems, Problem{Place: place, Problem: problem, Want: want})
 }
 
-func (c *checker) fieldsOf(target reflect.Type) []field {
-	if known, ok := c.fields[target]; ok {
+func (c *checker) shapeOf(target reflect.Type) shape {
+	if known, ok := c.shapes[target]; ok {
 		return known
 	}
+	var s shape
+	if target.Implements(customType) {
+		s.custom = reflect.Zero(target).Interface().(Custom)
+	}
+	if target.Kind() == reflect.Struct {
+		s.fields = fieldsOf(target)
+	}
+	c.shapes[target] = s
+	return s
+}
+
+func fieldsOf(target reflect.Type) []field {
 	var fields []field
 	for i := range target.NumField() {
 		f := target.Field(i)
 		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
-		fields = append(fields, field{name: name, target: f.Type})
+		fields = append(fields, field{name: name, step: name, target: f.Type})
 	}
-	c.fields[target] = fields
 	return fields
 }
 
