Rows keep fractions of a second

Cause: rows were encoded with times in whole seconds. A new leader takes the time at which a job was accepted from its row, so after each takeover every job counted as accepted up to a second earlier than it was; for urgent jobs, whose slack is not much longer, that is the difference between in time and late. The due times of timed jobs lost their fractions as well, so that such a job could start up to a second early.

Times are now stored with nanoseconds. Rows of earlier builds are read as before, and earlier builds read the new ones.

--- a/internal/edge/fleet/rows.go
+++ b/internal/edge/fleet/rows.go
@@ -79,9 +79,16 @@
 	return strings.CutSuffix(name, cancelSuffix)
 }
 
+// rowMode encodes times with their fractions of a second, which deadlines of urgent
+// jobs depend on.
+var rowMode, errRowMode = cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+
 // encode returns the stored form of a value.
 func encode(value any) ([]byte, error) {
-	return cbor.Marshal(value)
+	if errRowMode != nil {
+		return nil, errRowMode
+	}
+	return rowMode.Marshal(value)
 }
 
 // decode reads a stored value.
