--- a/internal/core/plan/equal_test.go
+++ b/internal/core/plan/equal_test.go
@@ -41,6 +41,7 @@
 // Guards against decisions that depend on the order of a map: a test of one seed then
 // fails now and then, and a fault cannot be played again.
 func TestPlaysOfOneSeedAreEqual(t *testing.T) {
+	t.Parallel()
 	first := playWide()
 	for range equalPlays - 1 {
 		again := playWide()
--- a/internal/core/plan/fault_test.go
+++ b/internal/core/plan/fault_test.go
@@ -20,24 +20,28 @@
 // grows, while the store is unavailable and leaders change. No task may run twice,
 // no job may be lost and no start may bring a worker over its capacity.
 func TestPromisesUnderFaults(t *testing.T) {
+	t.Parallel()
 	checkUnderFaults(t, 2*time.Second)
 }
 
 // TestPromisesWithShortTasks does the same with tasks that often end before the
 // answer to their start times out.
 func TestPromisesWithShortTasks(t *testing.T) {
+	t.Parallel()
 	checkUnderFaults(t, 300*time.Millisecond, 700*time.Millisecond)
 }
 
 // TestPromisesWithCrashingTasks does the same while some tasks crash each worker that
 // starts them.
 func TestPromisesWithCrashingTasks(t *testing.T) {
+	t.Parallel()
 	checkEvents(t, len(randomEvents), plan.Policy{}, 2*time.Second, 300*time.Millisecond)
 }
 
 // TestPromisesWithWorkerRisk does the same while the planner judges workers by what they
 // have done. It may delay work, and must not keep any of it for ever.
 func TestPromisesWithWorkerRisk(t *testing.T) {
+	t.Parallel()
 	checkEvents(t, len(randomEvents), plan.Policy{WorkerRisk: true}, 2*time.Second, 300*time.Millisecond)
 }
 
--- a/internal/core/plan/limit_test.go
+++ b/internal/core/plan/limit_test.go
@@ -212,6 +212,7 @@
 // TestLimitsUnderFaults runs the work of two teams with limits that change, on workers
 // and leaders with all the faults of TestPromisesUnderFaults.
 func TestLimitsUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), 12)
 		w.answerLossRate = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "lost")
--- a/internal/core/plan/takeover_test.go
+++ b/internal/core/plan/takeover_test.go
@@ -125,6 +125,7 @@
 // after their workers were lost with a failure domain and leaders were replaced, while
 // most of the capacity is free.
 func TestLostTasksRunAgainAfterTakeover(t *testing.T) {
+	t.Parallel()
 	for _, first := range []bool{false, true} {
 		for _, terms := range [][]time.Duration{
 			nil, {0}, {2 * time.Second}, {time.Second, 2 * time.Second}, {time.Second, 3 * time.Second, 4 * time.Second},
@@ -159,6 +160,7 @@
 // Guards against a chain of leaders that each wait anew for the leases of lost workers
 // which stay in the list for a while.
 func TestLostTasksRunAgainWhileWorkersAreListed(t *testing.T) {
+	t.Parallel()
 	const listed = 4500 * time.Millisecond
 	w := newLossWorld(t, false)
 	w.lose("domain-0")
@@ -182,6 +184,7 @@
 // Guards against runs that are lost, or that are started twice, because a leader has
 // promised not to renew the leases of workers that were cut off for a short time.
 func TestWithheldWorkersKeepTheirRuns(t *testing.T) {
+	t.Parallel()
 	w := newLossWorld(t, false)
 	cutOff := w.domain("domain-0")
 	for _, f := range cutOff {
@@ -227,6 +230,7 @@
 // runs to be over, while leaders that were replaced still reach the worker and renew its
 // lease for as long as they may.
 func TestWithheldWorkersOfAnOutdatedLeader(t *testing.T) {
+	t.Parallel()
 	for _, terms := range [][]time.Duration{
 		{time.Second, time.Second, 2 * time.Second}, {2 * time.Second, 4 * time.Second}, {1500 * time.Millisecond, 300 * time.Millisecond},
 	} {
@@ -257,6 +261,7 @@
 // Guards against a leader that renews the leases of withheld workers before it has
 // stored that they are back: the next leader would start their tasks a second time.
 func TestWithheldWorkersReturnWhileStoreIsAway(t *testing.T) {
+	t.Parallel()
 	for name, inherited := range map[string]bool{"withheld by this leader": false, "withheld by the leader before": true} {
 		t.Run(name, func(t *testing.T) {
 			w := newLossWorld(t, false)
