Document check: keys of a team's limit are compared as hosts read them

Cause: the check compared the keys of max_count without regard to case, as the standard library's decoder does, but hosts read that object themselves and ignore a key in another case. So a limit under 'GPU' passed the check and never came into force.

--- a/internal/ops/place/shape.go
+++ b/internal/ops/place/shape.go
@@ -134,7 +134,8 @@
 }
 
 func (c *checker) object(at int32, target reflect.Type, steps []any) {
-	fields := c.shapeOf(target).fields
+	shape := c.shapeOf(target)
+	fields := shape.fields
 	children := c.tree.nodes[at].children
 	for i, child := range children {
 		// A mapping without unknown keys has at most as many entries as the type
@@ -146,7 +147,7 @@
 				break
 			}
 		}
-		f, ok := match(fields, key)
+		f, ok := shape.match(key)
 		if !ok {
 			c.keyProblem(child, steps, "unknown key", "one of "+names(fields))
 			c.problems[len(c.problems)-1].Unknown = true
@@ -193,15 +194,16 @@
 	return fields
 }
 
-// match returns the field that the standard library's decoder fills from a key.
-func match(fields []field, key string) (field, bool) {
-	for _, f := range fields {
+// match returns the field that is filled from a key: by the standard library's decoder,
+// which ignores case, or by the type itself, which does not.
+func (s shape) match(key string) (field, bool) {
+	for _, f := range s.fields {
 		if f.name == key {
 			return f, true
 		}
 	}
-	for _, f := range fields {
-		if strings.EqualFold(f.name, key) {
+	for _, f := range s.fields {
+		if s.custom == nil && strings.EqualFold(f.name, key) {
 			return f, true
 		}
 	}
