--- a/internal/core/plan/view.go
+++ b/internal/core/plan/view.go
@@ -39,7 +39,7 @@
 	// preemptTries counts the searches for a preemption in the pass, and reclaimTries those
 	// that have to meet a guarantee.
 	preemptTries, reclaimTries int
-	// ending holds the running gangs by their expected end, once that was asked for.
+	// ending holds the running gangs with their expected ends, once they were asked for.
 	ending []endingGang
 }
 
