--- a/internal/core/plan/preempt.go
+++ b/internal/core/plan/preempt.go
@@ -45,15 +45,15 @@
 	if now.Before(g.nextPreempt) || *tries >= maxPreemptTries {
 		return false
 	}
-	if !forced && (m.beyondRate(g.job) || m.policy.Without.Has(ablate.Preemption)) {
+	gain := m.preemptionGain(now, g)
+	if !forced && (gain <= 0 || m.policy.Without.Has(ablate.Preemption)) {
 		return false
 	}
-	*tries++
-	g.nextPreempt = now.Add(preemptInterval)
-	gain := m.preemptionGain(now, g)
-	if !forced && gain <= 0 {
+	if m.beyondRate(g.job) && !forced {
 		return false
 	}
+	*tries++
+	g.nextPreempt = now.Add(preemptInterval)
 	best, ok := m.cheapestPreemption(now, g, forced)
 	if !ok || !forced && gain <= best.cost {
 		return false
@@ -74,8 +74,22 @@
 	}
 }
 
-// reclaimMargin is how long before the deadline of a guarantee its capacity is reclaimed.
-const reclaimMargin = 900 * time.Millisecond
+// preemptionGain returns the value that an urgent gang gains by preempting now
+// instead of waiting for capacity to become free.
+func (m *Model) preemptionGain(now time.Time, g *gang) float64 {
+	work := m.expectedDuration(g)
+	preemptedEnd := now.Add(m.timing.TaskStop + work)
+	return m.valueAt(g.job, preemptedEnd) - m.valueAt(g.job, preemptedEnd.Add(waitWithoutPreemption))
+}
+
+const (
+	// waitWithoutPreemption is how long an urgent gang is expected to wait for
+	// capacity if nothing is preempted.
+	waitWithoutPreemption = 2 * time.Second
+	// reclaimMargin is how long before the deadline of a guarantee its capacity
+	// is reclaimed.
+	reclaimMargin = 900 * time.Millisecond
+)
 
 // cheapestPreemption returns the preemption of least cost within one rack or
 // over all workers.
--- a/internal/core/plan/runtimes.go
+++ b/internal/core/plan/runtimes.go
@@ -181,21 +181,19 @@
 	if m.runTimes.model == nil || r.gang.resumed {
 		return 0, false
 	}
-	if left, known := r.leftByProgress(now); known {
+	if left, known := r.leftByProgress(); known {
 		return left, true
 	}
 	return m.leftByForecast(now, r.gang)
 }
 
-// leftByProgress returns how long the run goes on at the rate of its progress so far,
-// as its worker last reported it.
-func (r *run) leftByProgress(now time.Time) (time.Duration, bool) {
+// leftByProgress returns how long the run goes on at the rate of its progress so far.
+func (r *run) leftByProgress() (time.Duration, bool) {
 	percent := r.progress.percent
 	if percent < minProgressPercent || r.rate <= 0 || r.inherited {
 		return 0, false
 	}
-	left := time.Duration(float64(donePercent-percent) / r.rate * float64(time.Second))
-	return max(0, left-now.Sub(r.worker.pollAnsweredAt)), true
+	return time.Duration(float64(donePercent-percent) / r.rate * float64(time.Second)), true
 }
 
 // leftByForecast returns how long the gang is expected to go on, given how long it has
@@ -219,17 +217,16 @@
 }
 
 // expectedWhole returns how long the gang is expected to take from its beginning, and
-// how much of that is left to its current attempt. The progress that its members report
-// goes before estimates of how long it takes.
+// how much of that is left to its current attempt.
 func (m *Model) expectedWhole(now time.Time, g *gang) (whole, left time.Duration) {
 	whole = m.expectedDuration(g)
 	left = max(0, whole-now.Sub(g.placedAt))
-	if g.resumed || len(g.runs) == 0 {
+	if m.runTimes.model == nil || g.resumed || len(g.runs) == 0 {
 		return whole, left
 	}
 	longest, unreported := time.Duration(0), false
 	for _, r := range g.runs {
-		l, known := r.leftByProgress(now)
+		l, known := r.leftByProgress()
 		longest = max(longest, l)
 		unreported = unreported || !known
 	}
--- a/internal/core/plan/view.go
+++ b/internal/core/plan/view.go
@@ -39,8 +39,6 @@
 	// preemptTries counts the searches for a preemption in the pass, and reclaimTries those
 	// that have to meet a guarantee.
 	preemptTries, reclaimTries int
-	// ending holds the running gangs with their expected ends, once they were asked for.
-	ending []endingGang
 }
 
 // rankKey identifies a step of a job.
