--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -15,6 +15,7 @@
 	"frozen-host":   frozenHost,
 	"perpetual":     perpetual,
 	"waiting":       waiting,
+	"rolling-stop":  rollingStop,
 }
 
 const (
--- a/review/rig/more.go
+++ b/review/rig/more.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -214,3 +217,99 @@
 	}
 	return r.judgeLost(id)
 }
+
+// rollingStop stops the hosts in turn while clients call on connections that they keep.
+// It tries the entry TestScenarios/graceful-stop of KNOWN-RED.txt on the deployed role.
+func rollingStop(r *rig) verdict {
+	const (
+		clients = 25
+		rounds  = 3
+		// lossSlack is loss_slack_ms.
+		lossSlack = 200 * time.Millisecond
+	)
+	r.configure(1, route("r-a", prefix, 1, 3))
+	r.addWorkers(6, "a")
+	r.deploy(3)
+	r.expectSound()
+	known, _ := r.smallJob(settle)
+	var mu sync.Mutex
+	calls, cut := 0, 0
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for i := range clients * len(r.hosts) {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			h := r.hosts[i%len(r.hosts)]
+			request := "GET " + prefix + known + " HTTP/1.1\r\nHost: " + callerHost + "\r\nAuthorization: Token " + teamKey + "\r\nX-Deadline-Ms: 3000\r\n\r\n"
+			for {
+				sent, lost := keepCalling(h.callers, request, lossSlack, stop)
+				mu.Lock()
+				calls += sent
+				if lost != nil {
+					cut++
+					r.report("LOST: a call at %s got no answer: %v", h.name, lost)
+				}
+				mu.Unlock()
+				select {
+				case <-stop:
+					return
+				case <-time.After(50 * time.Millisecond):
+				}
+			}
+		}()
+	}
+	for range rounds {
+		for _, h := range r.hosts {
+			time.Sleep(2 * time.Second)
+			if !r.trouble {
+				continue
+			}
+			r.signal(h, syscall.SIGTERM)
+			<-h.exited
+			r.start(h)
+		}
+	}
+	close(stop)
+	group.Wait()
+	r.report("%d of %d calls were cut off", cut, calls)
+	if cut > 0 {
+		return broken
+	}
+	return held
+}
+
+// keepCalling repeats a call on one connection until that ends. It returns the number of
+// calls, and an error if the last one got no whole answer and ended later than the slack
+// after it was sent.
+func keepCalling(address, request string, slack time.Duration, stop chan struct{}) (int, error) {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for calls := 1; ; calls++ {
+		_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+		if _, err := conn.Write([]byte(request)); err != nil {
+			return calls, nil
+		}
+		sent := time.Now()
+		response, err := http.ReadResponse(reader, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+		switch {
+		case err != nil && time.Since(sent) > slack:
+			return calls, err
+		case err != nil || response.Close:
+			return calls, nil
+		}
+		select {
+		case <-stop:
+			return calls, nil
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
