A job's progress is spread over rows of bounded size

A job of four tasks handed in later never starts, on idle workers.

Cause: one row held an entry for each task that had run, with its checkpoint. The store rejects rows above 65,536 bytes for good, such an answer ends the leader's term, and each next leader writes the same row. Compression only moves the limit: checkpoints do not compress.

Why this works: the progress of 64 tasks shares a row, and a larger gang has rows of its own, so that a row's size does not depend on the job's. A gang is started once all its rows are stored, the next leader joins rows, and those of ended jobs are removed before the job. Rows are written in the order in which they changed, and ends are acknowledged with the last row that their results went into. What still could be too large leaves out losses and the longest checkpoints, with a log line. The other rows that grow are bounded too: queue lengths, the roster, a perpetual task's failures, a gang's losses and crashes; a job whose own row fits nowhere is refused at once.

--- a/internal/core/plan/calls_test.go
+++ b/internal/core/plan/calls_test.go
@@ -109,7 +109,15 @@
 		for _, p := range cmd.Progress {
 			w.store(p)
 		}
+		for _, part := range cmd.Dropped {
+			delete(w.parts, part)
+		}
 		for _, id := range cmd.Deleted {
+			for part := range w.parts {
+				if part.Job == id {
+					w.RecordProblem("part %d of job %s is left when the job is deleted", part.Part, id)
+				}
+			}
 			delete(w.progress, id)
 			delete(w.jobs, id)
 		}
@@ -129,6 +137,13 @@
 }
 
 func (w *world) store(p record.Progress) {
+	part := plan.StoredPart{Job: p.ID, Part: p.Part}
+	w.serial++
+	w.stored[part] = w.serial
+	if p.Part > 0 {
+		w.parts[part] = p
+		return
+	}
 	before := w.progress[p.ID]
 	w.progress[p.ID] = p
 	switch before.State {
--- a/internal/core/plan/cmd.go
+++ b/internal/core/plan/cmd.go
@@ -46,11 +46,14 @@
 	Wait         time.Duration
 }
 
-// WriteCmd stores rows in one transaction that is fenced by the leader's row.
+// WriteCmd stores rows in transactions that are fenced by the leader's row.
 // At most one is pending. Its outcome is a WrittenMsg.
 type WriteCmd struct {
-	Batch    int
+	Batch int
+	// Progress holds rows of jobs' progress, which are stored in this order.
 	Progress []record.Progress
+	// Dropped names rows of ended jobs' progress that are removed before their jobs.
+	Dropped []StoredPart
 	// Deleted names ended jobs whose rows are to be deleted.
 	Deleted []string
 	// Rosters holds the parts of the roster that have changed.
--- a/internal/core/plan/crash.go
+++ b/internal/core/plan/crash.go
@@ -167,7 +167,7 @@
 		m.endJob(now, g.job, record.Failed, fmt.Sprintf("%d workers crashed under task %d", tally.all, c.Index))
 		return
 	}
-	m.markDirty(now, g.job, immediate)
+	m.markTaskDirty(now, g, c.Index)
 }
 
 // crashTally counts the crashes under one task.
--- a/internal/core/plan/ends.go
+++ b/internal/core/plan/ends.go
@@ -140,7 +140,7 @@
 func (m *Model) currentAttemptEnded(now time.Time, g *gang, w *worker, end EndReport) {
 	if end.Checkpoint != "" && end.Attempt >= g.attempt {
 		g.checkpoint = end.Checkpoint
-		m.markDirty(now, g.job, batched)
+		m.markDirty(now, g)
 	}
 	switch end.Kind {
 	case EndDone:
@@ -205,7 +205,7 @@
 	m.stopRuns(now, g, func(r *run) bool { return r.attempt != attempt })
 	m.checkRunsGone(g)
 	g.job.unfinished[stepKey{g.occurrence, g.step}]--
-	m.markDirty(now, g.job, batched)
+	m.markDirty(now, g)
 	m.reportDecision(GangDone, g, nil, "done")
 	m.advance(now, g.job)
 }
@@ -217,6 +217,11 @@
 	}
 }
 
+// maxFailuresKept is the number of failed attempts that are remembered of a perpetual
+// task, which may fail any number of times: the newest ones, so that the end of one that is
+// reported again does not count twice.
+const maxFailuresKept = 20
+
 // countFailure counts a failed attempt once. It reports whether the job
 // continues.
 func (m *Model) countFailure(now time.Time, g *gang, w *worker, attempt int) bool {
@@ -225,6 +230,9 @@
 		return true
 	}
 	g.failedAttempts = append(g.failedAttempts, attempt)
+	if extra := len(g.failedAttempts) - maxFailuresKept; extra > 0 && g.spec().Perpetual {
+		g.failedAttempts = slices.Delete(g.failedAttempts, 0, extra)
+	}
 	if g.failedOn == nil {
 		g.failedOn = map[string]bool{}
 	}
@@ -234,6 +242,6 @@
 		m.endJob(now, g.job, record.Failed, strconv.Itoa(len(g.failedAttempts))+" attempts failed")
 		return false
 	}
-	m.markDirty(now, g.job, batched)
+	m.markDirty(now, g)
 	return true
 }
--- a/internal/core/plan/fault_test.go
+++ b/internal/core/plan/fault_test.go
@@ -35,26 +35,39 @@
 // starts them.
 func TestPromisesWithCrashingTasks(t *testing.T) {
 	t.Parallel()
-	checkEvents(t, len(randomEvents), plan.Policy{}, 2*time.Second, 300*time.Millisecond)
+	checkEvents(t, len(randomEvents), faultCase{}, 2*time.Second, 300*time.Millisecond)
 }
 
 // TestPromisesWithWorkerRisk does the same while the planner judges workers by what they
 // have done. It may delay work, and must not keep any of it for ever.
 func TestPromisesWithWorkerRisk(t *testing.T) {
 	t.Parallel()
-	checkEvents(t, len(randomEvents), plan.Policy{WorkerRisk: true}, 2*time.Second, 300*time.Millisecond)
+	checkEvents(t, len(randomEvents), faultCase{policy: plan.Policy{WorkerRisk: true}}, 2*time.Second, 300*time.Millisecond)
+}
+
+// TestPromisesWithWideJobs does the same with jobs whose progress takes several rows.
+func TestPromisesWithWideJobs(t *testing.T) {
+	t.Parallel()
+	checkEvents(t, firstCrashingEvent, faultCase{wide: true}, 2*time.Second, 300*time.Millisecond)
+}
+
+// faultCase is what a run under random faults has beside them.
+type faultCase struct {
+	policy plan.Policy
+	// wide adds a job of many single tasks that a large gang follows.
+	wide bool
 }
 
 func checkUnderFaults(t *testing.T, work ...time.Duration) {
-	checkEvents(t, firstCrashingEvent, plan.Policy{}, work...)
+	checkEvents(t, firstCrashingEvent, faultCase{}, work...)
 }
 
 // checkEvents checks the promises under the first of the random events.
-func checkEvents(t *testing.T, kinds int, policy plan.Policy, work ...time.Duration) {
+func checkEvents(t *testing.T, kinds int, c faultCase, work ...time.Duration) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), 12)
-		if policy != (plan.Policy{}) {
-			w.policy = policy
+		if c.policy != (plan.Policy{}) {
+			w.policy = c.policy
 			w.replaceLeader()
 		}
 		w.answerLossRate = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "lost")
@@ -69,6 +82,10 @@
 		}
 		w.run(200 * time.Millisecond)
 		number := 0
+		if c.wide {
+			number++
+			w.submit(wideJob(number))
+		}
 		for range rapid.IntRange(4, 25).Draw(t, "events") {
 			applyRandomEvent(t, w, kinds, &number)
 			w.run(time.Duration(rapid.IntRange(10, 2500).Draw(t, "pause")) * time.Millisecond)
@@ -150,6 +167,16 @@
 	w.submit(j)
 }
 
+// wideJob returns a job of 150 single tasks and a gang of 80 tasks after them.
+func wideJob(number int) record.Job {
+	wide, gang := step(150, 0), gangStep(80, 0)
+	wide.Need.MilliCores, wide.Need.MemoryMB = 1000, 1000
+	gang.Need, gang.After, gang.SavesProgress = wide.Need, []int{0}, true
+	j := job(number, "patient", wide)
+	j.Steps = append(j.Steps, gang)
+	return j
+}
+
 func randomJob(t *rapid.T, number int) record.Job {
 	s := step(rapid.IntRange(1, 6).Draw(t, "tasks"), rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(t, "accelerators"))
 	s.Gang = rapid.Bool().Draw(t, "gang")
--- a/internal/core/plan/foreign_test.go
+++ b/internal/core/plan/foreign_test.go
@@ -85,12 +85,20 @@
 	}
 }
 
+func (f *foreign) rows() []record.Progress {
+	rows := make([]record.Progress, rapid.IntRange(0, 3).Draw(f.T, "rows"))
+	for i := range rows {
+		rows[i] = f.progress()
+	}
+	return rows
+}
+
 func (f *foreign) progress() record.Progress {
-	p := record.Progress{ID: "a", State: record.JobState(f.text("state", "", "queued", "running", "odd")), Attempt: f.int("attempt")}
+	p := record.Progress{ID: "a", Part: f.int("part"), State: record.JobState(f.text("state", "", "queued", "running", "odd")), Attempt: f.int("attempt")}
 	for range rapid.IntRange(0, 4).Draw(f.T, "gangs") {
 		p.Gangs = append(p.Gangs, record.GangProgress{
 			Attempt: f.int("attempt"), Done: rapid.Bool().Draw(f.T, "done"), First: f.int("first"), Occurrence: f.int("occurrence"),
-			Step: f.int("step"), FailedAttempts: []int{f.int("failed")}, Checkpoint: f.text("checkpoint", "", "c"),
+			Step: f.int("step"), Slice: f.int("slice"), FailedAttempts: []int{f.int("failed")}, Checkpoint: f.text("checkpoint", "", "c"),
 			Places: []record.Place{{Index: f.int("index"), Worker: f.worker()}, {Index: f.int("index"), Worker: f.worker()}},
 		})
 	}
@@ -107,7 +115,7 @@
 func (f *foreign) message() plan.Msg {
 	switch rapid.IntRange(0, 9).Draw(f.T, "message") {
 	case 0:
-		return plan.JobMsg{Job: f.job(f.text("id", "a", "b")), Progress: f.progress()}
+		return plan.JobMsg{Job: f.job(f.text("id", "a", "b")), Progress: f.rows()}
 	case 1:
 		return plan.CancelMsg{ID: f.text("id", "a", "b", "z")}
 	case 2:
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -37,6 +37,9 @@
 	step       int
 	first      int
 	size       int
+	// part is the first part of the job's progress that records the gang, and parts how
+	// many do.
+	part, parts int
 
 	phase   phase
 	attempt int
@@ -104,6 +107,13 @@
 	state record.JobState
 	queue rules.Queue
 	gangs []*gang
+	// firstGangs holds the position in gangs of the first gang of each step of each
+	// occurrence.
+	firstGangs []int
+	// parts spreads the gangs over the rows of the job's progress, and storedParts holds
+	// the rows beyond the first that are stored or being stored.
+	parts       []progressPart
+	storedParts map[int]bool
 	// unfinished counts the gangs of each step that are not done.
 	unfinished map[stepKey]int
 	// attempt is the highest attempt number that any gang has used.
@@ -139,18 +149,21 @@
 	if _, ended := m.write.ended[id]; ended {
 		return
 	}
-	switch msg.Progress.State {
+	stored := joinProgress(msg.Progress)
+	switch stored.State {
 	case record.Completed, record.Failed, record.Cancelled:
-		m.rememberEnded(id, msg.Progress.EndedAt)
-		m.addLeftover(msg.Job, msg.Progress)
+		m.rememberEnded(id, stored.EndedAt)
+		m.addLeftover(msg.Job, stored)
+		m.dropParts(id, msg.Progress)
 		return
 	case record.Queued, record.Running:
 	}
 	j := &job{
-		spec:       msg.Job,
-		state:      record.Queued,
-		unfinished: map[stepKey]int{},
-		attempt:    msg.Progress.Attempt,
+		spec:        msg.Job,
+		state:       record.Queued,
+		storedParts: map[int]bool{},
+		unfinished:  map[stepKey]int{},
+		attempt:     stored.Attempt,
 	}
 	j.acceptedAt = now
 	if !m.loaded {
@@ -158,9 +171,11 @@
 	}
 	j.queue, _ = m.config.Queue(msg.Job.Queue)
 	j.buildGangs()
+	j.buildParts()
 	m.jobs[id] = j
 	m.recordDemand(now, j)
-	m.restore(now, j, msg.Progress)
+	m.restore(now, j, stored)
+	m.noteStoredParts(j, msg.Progress)
 	m.advance(now, j)
 	m.reportDecision(JobLoaded, j.gangs[0], nil, j.spec.Queue)
 	m.write.waitingDirty = true
@@ -174,10 +189,8 @@
 			due = due.Add(time.Duration(k) * time.Duration(j.spec.IntervalMillis) * time.Millisecond)
 		}
 		for s, step := range j.spec.Steps {
-			size := 1
-			if step.Gang {
-				size = step.Tasks
-			}
+			size := gangSize(step)
+			j.firstGangs = append(j.firstGangs, len(j.gangs))
 			for first := 0; first < step.Tasks; first += size {
 				j.gangs = append(j.gangs, &gang{job: j, occurrence: k, step: s, first: first, size: size, dueAt: due})
 				j.unfinished[stepKey{k, s}]++
@@ -188,12 +201,22 @@
 
 // gang returns the gang that contains the task.
 func (j *job) gang(occurrence, step, index int) *gang {
-	for _, g := range j.gangs {
-		if g.occurrence == occurrence && g.step == step && index >= g.first && index < g.first+g.size {
-			return g
-		}
+	steps := j.spec.Steps
+	if occurrence < 0 || occurrence >= max(1, j.spec.Occurrences) || step < 0 || step >= len(steps) {
+		return nil
+	}
+	if index < 0 || index >= steps[step].Tasks {
+		return nil
+	}
+	return j.gangs[j.firstGangs[occurrence*len(steps)+step]+index/gangSize(steps[step])]
+}
+
+// gangSize returns the number of tasks in each gang of a step.
+func gangSize(s record.Step) int {
+	if s.Gang {
+		return s.Tasks
 	}
-	return nil
+	return 1
 }
 
 // advance queues the gangs whose steps and due time allow it, and ends the job
@@ -269,37 +292,10 @@
 	}
 	delete(m.jobs, j.spec.ID)
 	m.write.waitingDirty = true
-	m.write.ended[j.spec.ID] = now
-	m.markDirty(now, j, immediate)
+	m.markEnded(now, j)
 	m.reportDecision(JobEnded, j.gangs[0], nil, string(state)+" "+reason)
 }
 
-// progress returns the row from which the next leader restores the job.
-func (j *job) progress(ended time.Time) record.Progress {
-	p := record.Progress{ID: j.spec.ID, State: j.state, Attempt: j.attempt, EndedAt: ended, Reason: j.reason}
-	if !ended.IsZero() {
-		return p
-	}
-	for _, g := range j.gangs {
-		if g.phase != done && len(g.failedAttempts) == 0 && len(g.crashes) == 0 && len(g.unsettled) == 0 && g.checkpoint == "" && len(g.runs) == 0 {
-			continue
-		}
-		p.Gangs = append(p.Gangs, record.GangProgress{
-			Attempt:        g.attempt,
-			Places:         g.recordedPlaces(),
-			Occurrence:     g.occurrence,
-			Step:           g.step,
-			First:          g.first,
-			Done:           g.phase == done,
-			FailedAttempts: g.failedAttempts,
-			Crashes:        g.crashes,
-			Losses:         g.recordedLosses(),
-			Checkpoint:     g.checkpoint,
-		})
-	}
-	return p
-}
-
 func (g *gang) spec() *record.Step {
 	return &g.job.spec.Steps[g.step]
 }
--- a/internal/core/plan/loss.go
+++ b/internal/core/plan/loss.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rattanshore/rattanshore/internal/wire/record"
@@ -30,7 +31,7 @@
 	}
 	until := m.runsOver(r.worker).Add(lossWait)
 	l := &loss{gang: r.gang, task: r.task, attempt: r.attempt, incarnation: r.incarnation, worker: r.worker.ID, until: until}
-	r.gang.unsettled = append(r.gang.unsettled, l)
+	r.gang.unsettled = append(slices.DeleteFunc(r.gang.unsettled, func(l *loss) bool { return l.settled }), l)
 	r.worker.lost = append(r.worker.lost, l)
 	r.worker.watchUntil = l.until
 }
@@ -73,19 +74,24 @@
 	}
 }
 
-// recordedLosses returns the losses of which it is not known what became of the worker.
-func (g *gang) recordedLosses() []record.Loss {
+// recordedLosses returns the losses of which it is not known what became of the worker, of
+// the tasks that the part of the job's progress holds. No decision needs more than
+// maxOpenLosses of a task, so that the newest ones are enough.
+func (g *gang) recordedLosses(p progressPart) []record.Loss {
 	var losses []record.Loss
-	for _, l := range g.unsettled {
-		if l.settled {
+	counts := map[int]int{}
+	for _, l := range slices.Backward(g.unsettled) {
+		if l.settled || !p.holds(l.task.Index) || counts[l.task.Index] == maxOpenLosses {
 			continue
 		}
+		counts[l.task.Index]++
 		r := record.Loss{Index: l.task.Index, Attempt: l.attempt, Worker: l.worker, UntilMs: l.until.UnixMilli()}
 		if !l.incarnation.IsZero() {
 			r.StartedAtMs = l.incarnation.UnixMilli()
 		}
 		losses = append(losses, r)
 	}
+	slices.Reverse(losses)
 	return losses
 }
 
--- a/internal/core/plan/msg.go
+++ b/internal/core/plan/msg.go
@@ -14,10 +14,11 @@
 // TickMsg makes the planner do what has become due.
 type TickMsg struct{}
 
-// JobMsg contains a job row and the progress that an earlier leader recorded.
+// JobMsg contains a job row and the rows of its progress that earlier leaders recorded,
+// in the order in which they were stored.
 type JobMsg struct {
 	Job      record.Job
-	Progress record.Progress
+	Progress []record.Progress
 }
 
 // CancelMsg reports a recorded cancellation.
--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -299,7 +299,7 @@
 		j := job(1, "long", step(1, 1))
 		w.jobs[j.ID] = j
 		earlier := record.Progress{ID: j.ID, State: record.Running, Attempt: 1}
-		w.send(plan.JobMsg{Job: j, Progress: earlier})
+		w.send(plan.JobMsg{Job: j, Progress: []record.Progress{earlier}})
 		w.run(500 * time.Millisecond)
 		entry := w.Alive()[0]
 		w.send(plan.PollMsg{
--- a/internal/core/plan/roster.go
+++ b/internal/core/plan/roster.go
@@ -108,14 +108,17 @@
 	m.write.roster.sent = nil
 }
 
-// recordedPlaces returns where the gang's attempt runs or may run.
-func (g *gang) recordedPlaces() []record.Place {
+// recordedPlaces returns where the gang's attempt runs or may run, of the tasks that the
+// part of its job's progress holds.
+func (g *gang) recordedPlaces(p progressPart) []record.Place {
 	if g.phase == done {
 		return nil
 	}
 	places := make([]record.Place, 0, len(g.runs))
 	for _, r := range g.runs {
-		places = append(places, r.place())
+		if p.holds(r.task.Index) {
+			places = append(places, r.place())
+		}
 	}
 	return places
 }
--- a/internal/core/plan/run.go
+++ b/internal/core/plan/run.go
@@ -103,6 +103,7 @@
 		g.job.everPlaced = true
 		g.job.state = record.Running
 		m.write.waitingDirty = true
+		m.markPart(g.job, 0)
 	}
 	for i, w := range places {
 		m.addRun(&run{
@@ -110,7 +111,7 @@
 			attempt: g.attempt, gang: g, worker: w, need: g.need(), sentAt: now, incarnation: w.StartedAt,
 		})
 	}
-	m.markDirty(now, g.job, immediate)
+	m.markPlacesDirty(now, g)
 	m.reportDecision(Placed, g, places[0], joinWorkerIDs(places))
 }
 
--- a/internal/core/plan/speed.go
+++ b/internal/core/plan/speed.go
@@ -16,6 +16,9 @@
 	// maxSpeedSample limits a measurement, as a logarithm. Larger differences
 	// are caused by faults.
 	maxSpeedSample = 0.5
+	// maxPeers is the largest number of gangs of a step that are compared with each
+	// other. It bounds the work that each end in a step of thousands of tasks takes.
+	maxPeers = 512
 	// speedClassWidth is the range of speeds that count as equal, as a
 	// logarithm.
 	speedClassWidth = 0.18
@@ -53,10 +56,7 @@
 	}
 	g.setFinalRate(now)
 	sum, count := 0.0, 0
-	for _, other := range g.job.gangs {
-		if other.step != g.step || other.occurrence != g.occurrence {
-			continue
-		}
+	for _, other := range g.peers() {
 		for _, rate := range other.logRates(now) {
 			sum += rate
 			count++
@@ -71,6 +71,19 @@
 	}
 }
 
+// peers returns the gangs of the same step and occurrence, itself included, or the nearest
+// of them if there are too many.
+func (g *gang) peers() []*gang {
+	j := g.job
+	first := j.firstGangs[g.occurrence*len(j.spec.Steps)+g.step]
+	gangs := j.gangs[first : first+g.spec().Tasks/g.size]
+	if len(gangs) <= maxPeers {
+		return gangs
+	}
+	from := max(0, min(g.first/g.size-maxPeers/2, len(gangs)-maxPeers))
+	return gangs[from : from+maxPeers]
+}
+
 // setFinalRate sets the rate of a task that ran alone. Members of a gang end
 // together, whenever each has done its part, so their last reported rates stay.
 func (g *gang) setFinalRate(now time.Time) {
--- a/internal/core/plan/world_test.go
+++ b/internal/core/plan/world_test.go
@@ -45,8 +45,12 @@
 	config   rules.Config
 	policy   plan.Policy
 
-	jobs      map[string]record.Job
-	progress  map[string]record.Progress
+	jobs     map[string]record.Job
+	progress map[string]record.Progress
+	// parts holds the rows of progress beyond the first, and stored when each row was
+	// stored, by a counter.
+	parts     map[plan.StoredPart]record.Progress
+	stored    map[plan.StoredPart]int
 	cancelled map[string]bool
 	rosters   map[int]record.Roster
 	waiting   record.Waiting
@@ -105,6 +109,8 @@
 		random:      rand.New(rand.NewPCG(seed, 1)),
 		jobs:        map[string]record.Job{},
 		progress:    map[string]record.Progress{},
+		parts:       map[plan.StoredPart]record.Progress{},
+		stored:      map[plan.StoredPart]int{},
 		cancelled:   map[string]bool{},
 		rosters:     map[int]record.Roster{},
 		partitioned: map[string]bool{},
@@ -233,7 +239,7 @@
 		w.sendTo(p, plan.RosterMsg{Workers: w.rosters[part].Workers})
 	}
 	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
-		w.sendTo(p, plan.JobMsg{Job: w.jobs[id], Progress: w.progress[id]})
+		w.sendTo(p, plan.JobMsg{Job: w.jobs[id], Progress: w.progressRows(id)})
 		if w.cancelled[id] {
 			w.sendTo(p, plan.CancelMsg{ID: id})
 		}
@@ -243,6 +249,23 @@
 	w.tick(p)
 }
 
+// progressRows returns the rows of a job's progress, oldest first.
+func (w *world) progressRows(id string) []record.Progress {
+	var rows []record.Progress
+	if p, ok := w.progress[id]; ok {
+		rows = append(rows, p)
+	}
+	for part, p := range w.parts {
+		if part.Job == id {
+			rows = append(rows, p)
+		}
+	}
+	slices.SortFunc(rows, func(a, b record.Progress) int {
+		return cmp.Compare(w.stored[plan.StoredPart{Job: id, Part: a.Part}], w.stored[plan.StoredPart{Job: id, Part: b.Part}])
+	})
+	return rows
+}
+
 func (w *world) tick(p *planner) {
 	if p.superseded {
 		return
--- a/internal/core/plan/write.go
+++ b/internal/core/plan/write.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/rattanshore/rattanshore/internal/core/sets"
 	"github.com/rattanshore/rattanshore/internal/wire/record"
 )
 
@@ -27,8 +28,9 @@
 	lateAt      time.Time
 	nextRenewal time.Time
 
-	// dirty holds jobs with progress that is not stored.
-	dirty map[string]*job
+	// dirty holds the parts of jobs' progress that are not stored, in the order in which
+	// they changed, so that a job with many parts does not delay the others.
+	dirty sets.Ordered[dirtyPart]
 	// endedDirty holds final states that are not stored.
 	endedDirty map[string]record.Progress
 	// dueAt is when the progress has to be sent.
@@ -40,13 +42,21 @@
 	// sent.
 	deleted map[string]time.Time
 
-	// storing holds the jobs whose progress the pending batch stores, and
-	// toStart those of their gangs that are started afterwards.
-	storing []*job
+	// drops holds the rows of ended jobs' progress that are to be removed, and
+	// dropsOf counts them by job.
+	drops   []StoredPart
+	dropsOf map[string]int
+
+	// storing holds the progress that the pending batch stores, and toStart those of
+	// its gangs that are started afterwards.
+	storing []dirtyPart
 	toStart []storedAttempt
 
-	acksDirty    bool
-	acks         map[string]int64
+	acksDirty bool
+	acks      map[string]int64
+	// nextAcks holds the ends that can be acknowledged once the progress before acksMark
+	// is stored, or nil.
+	nextAcks     map[string]int64
 	roster       rosterState
 	waitingDirty bool
 	nextWaiting  time.Time
@@ -62,41 +72,84 @@
 
 func newWriteState() writeState {
 	return writeState{
-		dirty:      map[string]*job{},
 		endedDirty: map[string]record.Progress{},
+		dropsOf:    map[string]int{},
 		ended:      map[string]time.Time{},
 		deleted:    map[string]time.Time{},
 		roster:     rosterState{dirty: map[int]bool{}},
 	}
 }
 
-// urgency is how soon progress has to be stored.
-type urgency int
+// markDirty marks the progress of a gang as changed, apart from its places. It waits a
+// short time so that other changes join it.
+func (m *Model) markDirty(now time.Time, g *gang) {
+	m.setDue(now.Add(m.timing.ProgressDelay))
+	m.markPart(g.job, g.part)
+}
 
-const (
-	// batched progress waits a short time so that other changes join it.
-	batched urgency = iota
-	// immediate progress is stored with the next transaction.
-	immediate
-)
+// markTaskDirty marks as changed what is recorded of one task of a gang, which has to be
+// stored at once.
+func (m *Model) markTaskDirty(now time.Time, g *gang, index int) {
+	m.setDue(now)
+	m.markPart(g.job, g.partOf(index))
+}
 
-// markDirty marks a job's progress as changed.
-func (m *Model) markDirty(now time.Time, j *job, u urgency) {
-	s := &m.write
-	due := now
-	if u == batched {
-		due = now.Add(m.timing.ProgressDelay)
+// markPlacesDirty marks the places of a gang as changed, which have to be stored at once.
+func (m *Model) markPlacesDirty(now time.Time, g *gang) {
+	m.setDue(now)
+	for part := g.part; part < g.part+g.parts; part++ {
+		m.markPart(g.job, part)
 	}
-	if len(s.dirty) == 0 && len(s.endedDirty) == 0 {
+}
+
+// setDue sets when progress that is about to be marked has to be stored at the latest.
+func (m *Model) setDue(due time.Time) {
+	s := &m.write
+	if !s.hasProgress() {
 		s.dueAt = due
 	}
 	s.dueAt = earlier(s.dueAt, due)
-	if _, ended := s.ended[j.spec.ID]; ended {
-		delete(s.dirty, j.spec.ID)
-		s.endedDirty[j.spec.ID] = j.progress(now)
-		return
+}
+
+// hasProgress reports whether there is progress that is not sent.
+func (s *writeState) hasProgress() bool {
+	return s.dirty.Len() > 0 || len(s.endedDirty) > 0
+}
+
+// markPart marks a part of a job's progress as changed. The final state of a job that has
+// ended stands for all parts.
+func (m *Model) markPart(j *job, part int) {
+	if _, ended := m.write.ended[j.spec.ID]; !ended {
+		m.write.dirty.Add(dirtyPart{j, part})
+	}
+}
+
+// markEnded has the final state of a job stored at once, and then its other rows removed.
+func (m *Model) markEnded(now time.Time, j *job) {
+	s := &m.write
+	m.setDue(now)
+	s.ended[j.spec.ID] = now
+	for part := range j.parts {
+		s.dirty.Remove(dirtyPart{j, part})
+	}
+	s.endedDirty[j.spec.ID] = record.Progress{ID: j.spec.ID, State: j.state, Attempt: j.attempt, EndedAt: now, Reason: j.reason}
+	for _, part := range slices.Sorted(maps.Keys(j.storedParts)) {
+		m.dropPart(StoredPart{j.spec.ID, part})
+	}
+}
+
+// dropParts has the rows beyond the first removed of a job that an earlier leader ended.
+func (m *Model) dropParts(id string, rows []record.Progress) {
+	for _, row := range rows {
+		if row.Part > 0 {
+			m.dropPart(StoredPart{id, row.Part})
+		}
 	}
-	s.dirty[j.spec.ID] = j
+}
+
+func (m *Model) dropPart(part StoredPart) {
+	m.write.drops = append(m.write.drops, part)
+	m.write.dropsOf[part.Job]++
 }
 
 // rememberEnded remembers a job that ended under an earlier leader until its
@@ -118,7 +171,7 @@
 		return
 	}
 	m.markRosterDirty()
-	due := (len(s.dirty) > 0 || len(s.endedDirty) > 0) && !now.Before(s.dueAt)
+	due := s.hasProgress() && !now.Before(s.dueAt) || len(s.drops) > 0
 	writeLengths := (s.waitingDirty || m.policy.RefuseLate) && !now.Before(s.nextWaiting)
 	if !due && !s.acksDirty && len(s.roster.dirty) == 0 && !writeLengths && now.Before(s.nextRenewal) {
 		return
@@ -127,9 +180,11 @@
 	s.sentAt = now
 	s.batch++
 	s.nextRenewal = now.Add(m.timing.RenewInterval)
+	s.acks = nil
 	cmd := WriteCmd{Batch: s.batch, Progress: m.takeDirty()}
 	m.takeStarts()
-	cmd.Deleted = m.takeDeletions(now, maxJobRows-len(cmd.Progress))
+	cmd.Dropped = m.takeDrops(maxJobRows - len(cmd.Progress))
+	cmd.Deleted = m.takeDeletions(now, maxJobRows-len(cmd.Progress)-len(cmd.Dropped))
 	m.takeAcks()
 	cmd.Rosters = m.takeRosters()
 	if writeLengths {
@@ -158,7 +213,7 @@
 // takeDirty returns rows of jobs that ended, then of those that changed.
 func (m *Model) takeDirty() []record.Progress {
 	s := &m.write
-	rows := make([]record.Progress, 0, min(maxJobRows, len(s.dirty)+len(s.endedDirty)))
+	rows := make([]record.Progress, 0, min(maxJobRows, s.dirty.Len()+len(s.endedDirty)))
 	for _, id := range slices.Sorted(maps.Keys(s.endedDirty)) {
 		if len(rows) == maxJobRows {
 			return rows
@@ -166,25 +221,50 @@
 		rows = append(rows, s.endedDirty[id])
 		delete(s.endedDirty, id)
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.dirty)) {
+	for p := range s.dirty.All() {
 		if len(rows) == maxJobRows {
 			return rows
 		}
-		j := s.dirty[id]
-		rows = append(rows, j.progress(time.Time{}))
-		s.storing = append(s.storing, j)
-		delete(s.dirty, id)
+		if p == acksMark {
+			s.dirty.Remove(p)
+			s.acks, s.nextAcks = s.nextAcks, nil
+			continue
+		}
+		rows = append(rows, p.job.progress(p.part))
+		if p.part > 0 {
+			p.job.storedParts[p.part] = true
+		}
+		s.storing = append(s.storing, p)
+		s.dirty.Remove(p)
 	}
 	return rows
 }
 
+// takeDrops returns rows of ended jobs' progress that are to be removed. The final states
+// of the jobs are stored by then, or before that in the same batch.
+func (m *Model) takeDrops(limit int) []StoredPart {
+	s := &m.write
+	if len(s.endedDirty) > 0 || limit <= 0 || len(s.drops) == 0 {
+		return nil
+	}
+	n := min(limit, len(s.drops))
+	taken := slices.Clone(s.drops[:n])
+	s.drops = s.drops[n:]
+	for _, part := range taken {
+		if s.dropsOf[part.Job]--; s.dropsOf[part.Job] == 0 {
+			delete(s.dropsOf, part.Job)
+		}
+	}
+	return taken
+}
+
 // takeStarts collects the gangs that are started once the batch is stored.
 func (m *Model) takeStarts() {
 	s := &m.write
 	s.toStart = s.toStart[:0]
-	for _, j := range s.storing {
-		for _, g := range j.gangs {
-			if g.phase == placed && len(g.runs) > 0 && g.runs[0].phase == storing {
+	for _, p := range s.storing {
+		for _, g := range p.job.parts[p.part].gangs {
+			if g.phase == placed && len(g.runs) > 0 && g.runs[0].phase == storing && !m.hasDirtyPlaces(g) {
 				s.toStart = append(s.toStart, storedAttempt{g, g.attempt})
 			}
 		}
@@ -192,22 +272,46 @@
 	s.storing = s.storing[:0]
 }
 
+// hasDirtyPlaces reports whether places of the gang are left for a later batch.
+func (m *Model) hasDirtyPlaces(g *gang) bool {
+	for part := g.part; part < g.part+g.parts; part++ {
+		if m.write.dirty.Has(dirtyPart{g.job, part}) {
+			return true
+		}
+	}
+	return false
+}
+
+// acksMark stands in the order of parts that are not stored behind all progress that
+// resulted from the ends in nextAcks.
+var acksMark = dirtyPart{part: -1}
+
 // takeAcks collects the ends that can be acknowledged once the batch is stored.
 // Ends are acknowledged only together with all progress that resulted from
-// them.
+// them. If a batch does not hold all progress, the ends seen so far are acknowledged with
+// the batch that holds the last part that is dirty now, however much progress follows.
 func (m *Model) takeAcks() {
 	s := &m.write
-	s.acks = nil
-	if len(s.dirty) > 0 || len(s.endedDirty) > 0 {
-		return
+	switch {
+	case !s.hasProgress():
+		s.acksDirty = false
+		s.acks, s.nextAcks = m.unstoredEnds(), nil
+	case s.nextAcks == nil && s.acksDirty:
+		s.nextAcks = m.unstoredEnds()
+		s.dirty.Add(acksMark)
 	}
-	s.acksDirty = false
-	s.acks = map[string]int64{}
+}
+
+// unstoredEnds returns the newest end of each worker that has ends whose results are not
+// stored.
+func (m *Model) unstoredEnds() map[string]int64 {
+	ends := map[string]int64{}
 	for _, w := range m.sortedWorkers {
 		if w.seenEnd > w.storedEnd {
-			s.acks[w.ID] = w.seenEnd
+			ends[w.ID] = w.seenEnd
 		}
 	}
+	return ends
 }
 
 // takeDeletions returns ended jobs whose rows are to be deleted. They are
@@ -215,7 +319,7 @@
 func (m *Model) takeDeletions(now time.Time, limit int) []string {
 	var ids []string
 	for id, at := range m.write.ended {
-		if _, sent := m.write.deleted[id]; sent {
+		if _, sent := m.write.deleted[id]; sent || m.write.dropsOf[id] > 0 {
 			continue
 		}
 		if now.Sub(at) > m.timing.KeepEnded {
--- a/internal/edge/fleet/admission_test.go
+++ b/internal/edge/fleet/admission_test.go
@@ -295,7 +295,7 @@
 	}
 	host.expect(maxRefusals, true)
 	host.admission.refresh()
-	if size := len(s.rows[refusalsKey("one")].Value); size == 0 || size > maxPlainBytes {
+	if size := len(s.rows[refusalsKey("one")].Value); size == 0 || size > maxRowBytes {
 		t.Errorf("the row of refusals has %d bytes", size)
 	}
 }
--- a/internal/edge/fleet/batch_test.go
+++ b/internal/edge/fleet/batch_test.go
@@ -9,8 +9,8 @@
 	"github.com/rattanshore/rattanshore/internal/wire/record"
 )
 
-// maxRowBytes is the largest value that the platform's store accepts.
-const maxRowBytes = 65536
+// storeRowBytes is the largest value that the platform's store accepts.
+const storeRowBytes = 65536
 
 // progressOf returns the progress of a job with so many tasks, each placed or done.
 func progressOf(id string, tasks int, done bool) record.Progress {
@@ -25,20 +25,20 @@
 	return p
 }
 
-// Guards against a job whose progress fits no row, which ends every leader's term.
+// Guards against a row of progress that changes when it is stored, compressed or not.
 func TestLargeProgress(t *testing.T) {
 	for _, p := range []record.Progress{
 		progressOf("a", 0, true), progressOf("a", 700, false), progressOf("a", 5000, false), progressOf("a", 20000, true),
 	} {
-		value, err := encodeProgress(p)
+		value, _, err := encodeProgress(p)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if len(value) > maxRowBytes {
+		if len(value) > storeRowBytes {
 			t.Errorf("%d gangs take %d bytes", len(p.Gangs), len(value))
 		}
-		read, err := decodeProgress(value)
-		if err != nil || !reflect.DeepEqual(read, p) {
+		var read record.Progress
+		if err := decode(value, &read); err != nil || !reflect.DeepEqual(read, p) {
 			t.Errorf("%d gangs were read as %d: %v", len(p.Gangs), len(read.Gangs), err)
 		}
 	}
@@ -46,12 +46,13 @@
 
 // Guards against a stored row that ends a process.
 func TestUnreadableProgress(t *testing.T) {
-	whole, err := encodeProgress(progressOf("a", 5000, false))
+	complete, _, err := encodeProgress(progressOf("a", 5000, false))
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, data := range [][]byte{nil, {0x40}, {0x41, 0xff}, []byte("foreign"), whole[:len(whole)/2], {0x5f, 0xff}} {
-		if p, err := decodeProgress(data); err == nil {
+	for _, data := range [][]byte{nil, {0x40}, {0x41, 0xff}, []byte("foreign"), complete[:len(complete)/2], {0x5f, 0xff}} {
+		var p record.Progress
+		if err := decode(data, &p); err == nil {
 			t.Errorf("%.20x was read as %+v", data, p)
 		}
 	}
--- a/internal/edge/fleet/feeds.go
+++ b/internal/edge/fleet/feeds.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -68,7 +70,7 @@
 	defer cancel()
 	h := s.host
 	var (
-		progress     map[string]record.Progress
+		progress     map[string][]record.Progress
 		jobs, roster store.Rows
 		workers      plan.WorkersMsg
 		version      int64
@@ -119,21 +121,25 @@
 	return jobs.Version, nil
 }
 
-// readProgress returns the stored progress by job. Rows that cannot be decoded are
-// skipped.
-func (s *session) readProgress(ctx context.Context) (map[string]record.Progress, error) {
+// readProgress returns the stored rows of progress by job, in the order in which they
+// were stored. Rows that cannot be decoded are skipped.
+func (s *session) readProgress(ctx context.Context) (map[string][]record.Progress, error) {
 	rows, err := s.host.store.ReadAll(ctx, tableProgress, "")
 	if err != nil {
 		return nil, err
 	}
-	progress := make(map[string]record.Progress, len(rows.Rows))
+	slices.SortStableFunc(rows.Rows, func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) })
+	progress := make(map[string][]record.Progress, len(rows.Rows))
 	for _, r := range rows.Rows {
-		p, err := decodeProgress(r.Value)
-		if err != nil {
+		id, part, ok := progressPartOf(r.Key.Name)
+		var p record.Progress
+		err := decode(r.Value, &p)
+		if err != nil || !ok {
 			logev.RowSkipped.Log(s.host.log).Str("table", r.Key.Table).Str("row", r.Key.Name).Err(err).Send()
 			continue
 		}
-		progress[r.Key.Name] = p
+		p.Part = part
+		progress[id] = append(progress[id], p)
 	}
 	return progress, nil
 }
@@ -150,7 +156,7 @@
 
 // sendJob sends a job to the planner, with its progress if there is any. A row that
 // is no valid job is skipped: the planner relies on what jobs.Check refuses.
-func (s *session) sendJob(row store.Row, progress map[string]record.Progress) {
+func (s *session) sendJob(row store.Row, progress map[string][]record.Progress) {
 	if _, ok := cancelledJob(row.Key.Name); ok || row.Deleted {
 		return
 	}
--- a/internal/edge/fleet/frontend.go
+++ b/internal/edge/fleet/frontend.go
@@ -122,9 +122,10 @@
 			return err
 		}
 	}
-	value, err := encode(job)
+	value, err := encodeJob(job)
 	if err != nil {
-		return err
+		logev.JobRefused.Log(f.log).Str("job", job.ID).Str("queue", job.Queue).Err(err).Send()
+		return errors.Mark(err, ErrInvalid)
 	}
 	row, err := f.store.Insert(ctx, store.Row{Key: jobKey(job.ID), Value: value}, refusalTimeout)
 	switch {
@@ -159,8 +160,8 @@
 		return "", errors.Mark(err, ErrNotReady)
 	}
 	if row.Version > 0 {
-		p, err := decodeProgress(row.Value)
-		if err != nil {
+		var p record.Progress
+		if err := decode(row.Value, &p); err != nil {
 			return "", errors.Mark(err, ErrNotReady)
 		}
 		return p.State, nil
--- a/internal/edge/fleet/rows.go
+++ b/internal/edge/fleet/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -14,7 +15,8 @@
 	// tableJobs holds each job under its identifier and its cancellation under
 	// the identifier with cancelSuffix. Its rows are written once.
 	tableJobs = "jobs"
-	// tableProgress holds the progress of each job. Only the leader writes it.
+	// tableProgress holds the progress of each job, that of many tasks in several rows.
+	// Only the leader writes it.
 	tableProgress = "progress"
 	// tableLeader holds the leader row, the roster and the queue lengths. Only the
 	// leader writes it.
@@ -55,10 +57,32 @@
 	return store.Key{Table: tableJobs, Part: jobPart(id), Name: id + cancelSuffix}
 }
 
+// progressKey returns the key of the row that holds the job's state.
 func progressKey(id string) store.Key {
 	return store.Key{Table: tableProgress, Name: id}
 }
 
+// progressPartKey returns the key of one row of the job's progress. Part 0 holds its state.
+func progressPartKey(id string, part int) store.Key {
+	if part == 0 {
+		return progressKey(id)
+	}
+	return store.Key{Table: tableProgress, Name: id + partSeparator + strconv.Itoa(part)}
+}
+
+// progressPartOf returns the job and the number of a row of progress.
+func progressPartOf(name string) (id string, part int, ok bool) {
+	id, number, found := strings.Cut(name, partSeparator)
+	if !found {
+		return id, 0, true
+	}
+	part, err := strconv.Atoi(number)
+	return id, part, err == nil && part > 0
+}
+
+// partSeparator separates a job from the number of a row of its progress.
+const partSeparator = "/"
+
 var (
 	leaderKey  = store.Key{Table: tableLeader, Name: "planner"}
 	waitingKey = store.Key{Table: tableLeader, Name: "waiting"}
@@ -93,5 +117,13 @@
 
 // decode reads a stored value.
 func decode(data []byte, into any) error {
+	plain, err := unpacked(data)
+	if err != nil {
+		return err
+	}
+	return unmarshal(plain, into)
+}
+
+func unmarshal(data []byte, into any) error {
 	return cbor.Unmarshal(data, into)
 }
--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -124,6 +124,9 @@
 	if err != nil {
 		return err
 	}
+	for _, key := range b.reduced {
+		logev.RowReduced.Log(s.host.log).Int64("epoch", s.epoch).Str("table", key.Table).Str("row", key.Name).Send()
+	}
 	value := func() []byte { return s.host.leaderRowValue(s.host.settings.Host.ID, s.term) }
 	for _, change := range b.changes {
 		if _, err := s.writer.Apply(ctx, change, value); err != nil {
--- a/internal/ops/logev/logev.go
+++ b/internal/ops/logev/logev.go
@@ -42,6 +42,7 @@
 	TakeoverFailed     Event = 155
 	FeedLost           Event = 156
 	LeaderPaused       Event = 157
+	RowReduced         Event = 158
 	ConfigInForce      Event = 140
 	ConfigAccepted     Event = 141
 	ConfigRefused      Event = 142
@@ -123,6 +124,7 @@
 	{TakeoverFailed, "takeover-failed", zerolog.InfoLevel, "The leader's row could not be written; another host may have written it first."},
 	{FeedLost, "feed-lost", zerolog.WarnLevel, "A read of changes that the leader follows got no answer; it is retried until it gets one."},
 	{LeaderPaused, "leader-paused", zerolog.WarnLevel, "The leader's process stood still for so long that another host may lead; it starts nothing and renews no lease until it has stored a change."},
+	{RowReduced, "row-reduced", zerolog.WarnLevel, "A row would be too large for the store; checkpoints, losses or expected delays are left out of it."},
 	{RowSkipped, "row-skipped", zerolog.WarnLevel, "A row of the store cannot be read; it is skipped and not changed."},
 	{ConfigInForce, "config-in-force", zerolog.InfoLevel, "Decisions follow this configuration version from now on."},
 	{ConfigAccepted, "config-accepted", zerolog.InfoLevel, "An operator's change was committed as this version."},
--- a/internal/wire/record/record.gen.go
+++ b/internal/wire/record/record.gen.go
@@ -107,7 +107,10 @@
 
 	// Places Where the attempt was or may be started; recorded before any start is sent.
 	Places []Place `json:"places,omitempty,omitzero"`
-	Step   int     `json:"step"`
+
+	// Slice Number of this share of the places of a gang that is too large for one row; all but the places are in share 0.
+	Slice int `json:"slice,omitempty,omitzero"`
+	Step  int `json:"step"`
 }
 
 // Host Where an entry host answers its peers.
@@ -189,13 +192,16 @@
 
 // Progress defines model for Progress.
 type Progress struct {
-	// Attempt Highest attempt that any gang of the job has used.
+	// Attempt Highest attempt that any gang of the job had used when this row was written.
 	Attempt int            `json:"attempt,omitempty,omitzero"`
 	EndedAt time.Time      `json:"ended-at,omitempty,omitzero"`
 	Gangs   []GangProgress `json:"gangs,omitempty,omitzero"`
 	ID      string         `json:"id"`
-	Reason  string         `json:"reason,omitempty,omitzero"`
-	State   JobState       `json:"state"`
+
+	// Part Number of this row of the job's progress. Row 0 holds the state; the gangs of a large job are spread over further rows.
+	Part   int      `json:"part,omitempty,omitzero"`
+	Reason string   `json:"reason,omitempty,omitzero"`
+	State  JobState `json:"state"`
 }
 
 // QueueLength defines model for QueueLength.
