Stored ends are acknowledged while the store is slow

A worker lists 500 ends, and ends behind them are hidden until the first are acknowledged.

Cause: ends are acknowledged only within 0.5 s of a worker's answer, since the worker may have restarted since. A poll after a longer pause asks without an acknowledgement; if its answer held new ends, the next poll waited 1.2 s for these to be stored, and again came too late to acknowledge the earlier ones. With writes that take longer than 0.5 s and a worker on which runs keep ending, no end was acknowledged for as long as that lasted.

Why this works: ends that are stored are acknowledged with the poll that follows the answer at once, when it is certain which incarnation has them.

Measured: the test passes; core/plan passes.

--- a/internal/core/plan/poll.go
+++ b/internal/core/plan/poll.go
@@ -126,8 +126,9 @@
 	w.ackedEnd = max(w.ackedEnd, min(msg.Acknowledged, w.seenEnd))
 	m.reconcile(now, w, msg)
 	m.startAwaiting(now, w)
-	if w.seenEnd > w.storedEnd {
-		// The next poll is sent as soon as these ends are stored.
+	if w.seenEnd > w.storedEnd && w.storedEnd <= w.ackedEnd {
+		// The next poll is sent as soon as these ends are stored. Earlier ends that are
+		// stored are acknowledged at once, while it is certain which incarnation has them.
 		w.nextPoll = now.Add(m.timing.PollWait)
 	}
 }
