A full list of ends is not taken for complete

Cause: without the store no end is acknowledged, and a worker lists the 500 oldest ends only. Runs whose ends are behind these are in neither list, and the planner took them for lost.

Why this works: the adapter tells when a list is as long as it can be, and the planner then takes no run for missing from that answer; the acknowledgement of what is listed brings the rest. Ends that wait to be acknowledged are forgotten when the worker restarts, since its numbers begin anew; that guard has no test of its own.

--- a/internal/core/plan/ends.go
+++ b/internal/core/plan/ends.go
@@ -9,7 +9,8 @@
 	"github.com/rattanshore/rattanshore/internal/wire/record"
 )
 
-// reconcile compares the runs that a worker reports with those it should have.
+// reconcile compares the runs that a worker reports with those it should have. While the
+// worker has more ends than it lists, no run counts as missing.
 func (m *Model) reconcile(now time.Time, w *worker, msg PollMsg) {
 	reported := make(map[TaskID]RunReport, len(msg.Running))
 	for _, report := range msg.Running {
@@ -27,15 +28,23 @@
 	for _, report := range msg.Running {
 		m.updateRun(now, w, report, msg.Clock)
 	}
+	if !msg.MoreEnds {
+		m.reconcileMissing(now, w, reported, msg.SentAt)
+	}
+	if w.seenEnd > w.storedEnd {
+		m.write.acksDirty = true
+	}
+}
+
+// reconcileMissing handles the runs that the worker should have and that were not among
+// the reported ones when it was polled.
+func (m *Model) reconcileMissing(now time.Time, w *worker, reported map[TaskID]RunReport, polledAt time.Time) {
 	for _, r := range w.sortedRuns() {
 		report, listed := reported[r.task]
 		if listed && report.Attempt == r.attempt {
 			continue
 		}
-		m.handleMissing(now, r, msg.SentAt)
-	}
-	if w.seenEnd > w.storedEnd {
-		m.write.acksDirty = true
+		m.handleMissing(now, r, polledAt)
 	}
 }
 
--- a/internal/core/plan/fault_test.go
+++ b/internal/core/plan/fault_test.go
@@ -70,6 +70,7 @@
 			w.policy = c.policy
 			w.replaceLeader()
 		}
+		w.EndsPerAnswer = rapid.SampledFrom([]int{500, 2}).Draw(t, "ends per answer")
 		w.answerLossRate = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "lost")
 		length := rapid.SampledFrom(work).Draw(t, "work")
 		w.work = func(plan.TaskID) time.Duration { return length }
--- a/internal/core/plan/msg.go
+++ b/internal/core/plan/msg.go
@@ -186,7 +186,11 @@
 	// Acknowledged is the number of the last end that the poll acknowledged.
 	Acknowledged int64
 	Running      []RunReport
-	Ended        []EndReport
+	// Ended lists the oldest ends that are not acknowledged, in ascending order.
+	Ended []EndReport
+	// MoreEnds is set if there may be more ends than the answer lists. A run in neither
+	// list may then have ended.
+	MoreEnds bool
 }
 
 // WrittenMsg reports that a WriteCmd is done. It is sent only once the rows are
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -192,6 +192,9 @@
 	w.leaseUntil = time.Time{}
 	w.synced = false
 	w.seenEnd, w.storedEnd, w.ackedEnd = 0, 0, 0
+	// The numbers of ends begin anew.
+	delete(m.write.acks, w.ID)
+	delete(m.write.nextAcks, w.ID)
 	w.inheritedUntil = later(w.inheritedUntil, now.Add(m.longestLease()))
 	m.schedulePoll(now, w)
 	m.reportDecision(WorkerLost, nil, w, "worker restarted")
--- a/internal/fakes/pool/pool.go
+++ b/internal/fakes/pool/pool.go
@@ -23,6 +23,8 @@
 	MaxLease = 6 * time.Second
 	// leaseCheckInterval is the time between two checks for expired leases.
 	leaseCheckInterval = 20 * time.Millisecond
+	// defaultEndsPerAnswer is the platform's limit of the ends that a worker lists.
+	defaultEndsPerAnswer = 500
 	// defaultLimitGrace is three heartbeats of a worker.
 	defaultLimitGrace = 4500 * time.Millisecond
 )
@@ -74,6 +76,8 @@
 	problems   []string
 	events     []string
 
+	// EndsPerAnswer is the largest number of ends that an answer to a poll lists.
+	EndsPerAnswer int
 	// LimitGrace is how long after a worker's capacity has shrunk a start may still
 	// bring the worker over it.
 	LimitGrace time.Duration
@@ -97,6 +101,8 @@
 		teamLimits:  map[string][]teamLimit{},
 		crashes:     newCrashCounts(),
 		LimitGrace:  defaultLimitGrace,
+
+		EndsPerAnswer: defaultEndsPerAnswer,
 	}
 	p.expireLeases()
 	return p
--- a/internal/fakes/pool/worker.go
+++ b/internal/fakes/pool/worker.go
@@ -305,6 +305,11 @@
 	}
 }
 
+// Forget removes a run from the worker without an end.
+func (p *Pool) Forget(w *Worker, t plan.TaskID) {
+	delete(w.runs, t)
+}
+
 // Fail ends a run of the worker in failure, and with it the other members of its gang
 // that have begun to work.
 func (p *Pool) Fail(w *Worker, t plan.TaskID) {
@@ -385,6 +390,9 @@
 		now := p.clock.Now()
 		msg.Answered, msg.StartedAt, msg.Clock = true, w.Entry.StartedAt, p.clockOf(w)
 		msg.Ended = slices.Clone(w.ended)
+		if n := p.EndsPerAnswer; len(msg.Ended) >= n {
+			msg.Ended, msg.MoreEnds = msg.Ended[:n], true
+		}
 		for _, r := range w.sortedRuns() {
 			msg.Running = append(msg.Running, plan.RunReport{Task: r.task, Attempt: r.attempt, Percent: w.percent(now, r)})
 		}
