A task is retried on the only worker that can run it

Callers saw: a task that fails once on the only worker with its label is never started again (review/4, LOST); a task that lasts is not restarted once it has failed on each worker (review, perpetual).

Cause: a gang never used a worker again on which it had failed, unless fewer than half of all workers were usable. The same with an end: a quarantined or slow worker is not used even if it is the only one for the gang.

Why this works: such a worker comes after all others, for 2 s not at all, and after that while the target has capacity to spare or if the task lasts. A gang that would not fit on the workers that it does not avoid, if these were empty, uses the others after 1.5 s.

--- a/internal/core/plan/candidate.go
+++ b/internal/core/plan/candidate.go
@@ -21,6 +21,7 @@
 	if g.job.queue.Priority == 0 {
 		return func(a, b candidate) int {
 			return cmp.Or(
+				compareFailure(g, a.worker, b.worker),
 				compareRisk(g, a.worker, b.worker),
 				falseFirst(a.worker.runsWithCrashes > 0, b.worker.runsWithCrashes > 0),
 				cmp.Compare(b.worker.speed.class(), a.worker.speed.class()),
@@ -29,11 +30,20 @@
 		}
 	}
 	return func(a, b candidate) int {
-		return cmp.Or(compareRisk(g, a.worker, b.worker),
+		return cmp.Or(compareFailure(g, a.worker, b.worker), compareRisk(g, a.worker, b.worker),
 			cmp.Compare(a.worker.speed.class(), b.worker.speed.class()), compareTightness(a, b))
 	}
 }
 
+// compareFailure puts workers on which the gang has failed last, the newest failure at the
+// end.
+func compareFailure(g *gang, a, b *worker) int {
+	if len(g.failedOn) == 0 {
+		return 0
+	}
+	return g.failedOn[a.ID].Compare(g.failedOn[b.ID])
+}
+
 // compareTightness puts the candidates with the least spare capacity first.
 func compareTightness(a, b candidate) int {
 	return cmp.Or(
--- a/internal/core/plan/ends.go
+++ b/internal/core/plan/ends.go
@@ -243,9 +243,9 @@
 		g.failedAttempts = slices.Delete(g.failedAttempts, 0, extra)
 	}
 	if g.failedOn == nil {
-		g.failedOn = map[string]bool{}
+		g.failedOn = map[string]time.Time{}
 	}
-	g.failedOn[w.ID] = true
+	g.failedOn[w.ID] = now
 	limit := g.job.queue.MaxAttempts
 	if limit > 0 && len(g.failedAttempts) >= limit && !g.spec().Perpetual {
 		m.endJob(now, g.job, record.Failed, strconv.Itoa(len(g.failedAttempts))+" attempts failed")
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -60,8 +60,12 @@
 	// awaitsEntries is set while the start waits for newer entries of its workers.
 	awaitsEntries bool
 	checkpoint    string
-	// failedOn names the workers on which an attempt has failed.
-	failedOn map[string]bool
+	// failedOn holds the workers on which an attempt has failed, with when the newest did.
+	failedOn map[string]time.Time
+	// queuedAt is since when the gang has waited without a break, and lastResort is set
+	// while places for it are looked for on workers that it otherwise avoids.
+	queuedAt   time.Time
+	lastResort bool
 
 	runs   []*run
 	places []*worker
@@ -250,6 +254,7 @@
 
 func (m *Model) enqueue(g *gang) {
 	g.phase = waiting
+	g.queuedAt = m.now
 	g.places = nil
 	m.queue = append(m.queue, g)
 	m.changed = true
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -109,6 +109,7 @@
 	}
 	key := r.placementKey(now)
 	key.risk = m.riskLimitsOf(now, g)
+	key.lastResort = g.mayUseLastResort(now)
 	shared := len(g.claim.workers) == 0 && r.ageing == young
 	mayUseHeadroom := m.mayUseHeadroom(now, r)
 	if shared && failed.has(key, mayUseHeadroom) {
@@ -162,6 +163,17 @@
 // findPlaces returns a worker for each task of the gang, or nil. The overlay
 // replaces the workers' free capacity where it has an entry.
 func (m *Model) findPlaces(now time.Time, g *gang, overlay *freeOverlay) []*worker {
+	places := m.findUsualPlaces(now, g, overlay)
+	if places != nil || !m.needsLastResort(now, g) {
+		return places
+	}
+	g.lastResort = true
+	defer func() { g.lastResort = false }()
+	return m.findPlacesAmong(now, g, overlay, m.view.reachable[g.job.queue.Target])
+}
+
+// findUsualPlaces does the same on workers that the gang has no reason to avoid.
+func (m *Model) findUsualPlaces(now time.Time, g *gang, overlay *freeOverlay) []*worker {
 	s := g.spec()
 	if s.NearRack != "" {
 		if places := m.findPlacesAmong(now, g, overlay, m.workersNearData(g)); places != nil {
@@ -186,9 +198,9 @@
 
 // eligible reports whether the gang may run on the worker at all: the worker
 // has the target and label that the gang asks for, and the gang has not failed
-// there.
+// there, or may be tried there again.
 func (m *Model) eligible(g *gang, w *worker) bool {
-	if w.Target != g.job.queue.Target || g.failedOn[w.ID] && !m.view.scarce {
+	if w.Target != g.job.queue.Target || !g.lastResort && m.avoidsForFailure(g, w) {
 		return false
 	}
 	label := g.spec().Label
@@ -197,7 +209,10 @@
 
 // slots returns how many tasks of the gang the worker can take now.
 func (m *Model) slots(now time.Time, g *gang, w *worker, overlay *freeOverlay) int {
-	if !m.eligible(g, w) || !m.usable(now, w) || w.slow(now) && !m.view.scarce {
+	switch {
+	case !m.eligible(g, w), !m.reachable(now, w):
+		return 0
+	case !g.lastResort && (w.setAside(now) || w.slow(now) && !m.view.scarce):
 		return 0
 	}
 	if isolated(now, g, w) {
--- a/internal/core/plan/risk.go
+++ b/internal/core/plan/risk.go
@@ -257,7 +257,7 @@
 
 // limitByRisk returns how many of the slots of a worker a gang may use.
 func (m *Model) limitByRisk(now time.Time, g *gang, w *worker, slots int) int {
-	if m.risk.ledger == nil || slots == 0 {
+	if m.risk.ledger == nil || slots == 0 || g.lastResort {
 		return slots
 	}
 	limits, s := m.riskLimitsOf(now, g), &w.standing
--- a/internal/core/plan/view.go
+++ b/internal/core/plan/view.go
@@ -12,6 +12,10 @@
 type passView struct {
 	// usable holds the workers that may get new work, by target.
 	usable map[string][]*worker
+	// reachable holds these workers and those that are set aside, and spare the targets
+	// of which less than half of the capacity is in use.
+	reachable map[string][]*worker
+	spare     map[string]bool
 	// scarce is set when fewer than half of all workers are usable and not
 	// slow. Gangs may then be placed on slow workers and on those where they
 	// have failed.
@@ -51,6 +55,8 @@
 func (m *Model) refreshView(now time.Time) {
 	v := passView{
 		usable:       map[string][]*worker{},
+		reachable:    map[string][]*worker{},
+		spare:        map[string]bool{},
 		urgentDemand: map[string]int{},
 		ranks:        map[rankKey]rankedGang{},
 		heldForLimit: map[string]int{},
@@ -60,10 +66,15 @@
 	m.reviewRisk(now)
 	good := 0
 	var capacity record.Amount
+	used := map[string]float64{}
 	for _, w := range m.sortedWorkers {
+		if m.reachable(now, w) {
+			v.reachable[w.Target] = append(v.reachable[w.Target], w)
+		}
 		if !m.usable(now, w) {
 			continue
 		}
+		used[w.Target] += amount.CoreEquivalents(amount.Sub(w.Capacity, w.free))
 		v.usable[w.Target] = append(v.usable[w.Target], w)
 		v.cores[w.Target] += amount.CoreEquivalents(w.Capacity)
 		capacity = amount.Add(capacity, w.Capacity)
@@ -75,6 +86,9 @@
 			good++
 		}
 	}
+	for target, cores := range v.cores {
+		v.spare[target] = used[target] < cores/2
+	}
 	v.scarce = good < len(m.sortedWorkers)/2
 	for _, j := range m.jobs {
 		if j.queue.Priority != 0 {
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -279,12 +279,22 @@
 
 // usable reports whether the worker may get new work.
 func (m *Model) usable(now time.Time, w *worker) bool {
+	return m.reachable(now, w) && !w.setAside(now)
+}
+
+// reachable reports whether the worker can get new work, whatever it has done with earlier
+// work.
+func (m *Model) reachable(now time.Time, w *worker) bool {
 	switch {
 	case !w.listed, !w.synced, !w.inRoster, w.Draining, m.outOfService[w.Domain]:
 		return false
-	case now.Before(w.quarantinedUntil), now.Before(w.avoidUntil), w.withheld.inForce, w.standing.Class == trust.Avoided:
-		return false
 	default:
-		return true
+		return !now.Before(w.avoidUntil) && !w.withheld.inForce
 	}
 }
+
+// setAside reports whether the worker gets no new work for what it has done with earlier
+// work.
+func (w *worker) setAside(now time.Time) bool {
+	return now.Before(w.quarantinedUntil) || w.standing.Class == trust.Avoided
+}
