Odd entries of other writers are passed over and logged

A negative step in a worker's list of runs, of a job that has ended, ends the leader's process. One odd value of the settings ends a host at each start. The log said nothing of entries that were passed over.

--- a/internal/core/plan/leftover.go
+++ b/internal/core/plan/leftover.go
@@ -61,7 +61,7 @@
 // leftoverNeed returns the team of a task of such a job and what the task needs.
 func (m *Model) leftoverNeed(t TaskID) (string, record.Amount, bool) {
 	job, known := m.leftovers.jobs[t.Job]
-	if !known || t.Step >= len(job.Steps) {
+	if !known || t.Step < 0 || t.Step >= len(job.Steps) {
 		return "", record.Amount{}, false
 	}
 	return job.Team, job.Steps[t.Step].Need, true
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -206,15 +206,8 @@
 		m.addJob(now, msg)
 	case CancelMsg:
 		m.cancel(now, msg.ID)
-	case EarlierLeadersMsg:
-		m.earlierUntil = later(m.earlierUntil, msg.ActUntil)
-	case RosterMsg:
-		m.addRoster(now, msg.Workers)
-	case RunTimesMsg:
-		m.restoreRunTimes(msg.Data)
-	case LoadedMsg:
-		m.loaded = true
-		m.changed = true
+	case EarlierLeadersMsg, RosterMsg, RunTimesMsg, LoadedMsg:
+		m.load(now, msg)
 	case ConfigMsg:
 		m.setConfig(msg.Config)
 	case DomainsMsg:
@@ -235,6 +228,21 @@
 	return m, m.cmds
 }
 
+// load handles what is read of earlier leaders, apart from jobs.
+func (m *Model) load(now time.Time, msg Msg) {
+	switch msg := msg.(type) {
+	case EarlierLeadersMsg:
+		m.earlierUntil = later(m.earlierUntil, msg.ActUntil)
+	case RosterMsg:
+		m.addRoster(now, msg.Workers)
+	case RunTimesMsg:
+		m.restoreRunTimes(msg.Data)
+	case LoadedMsg:
+		m.loaded = true
+		m.changed = true
+	}
+}
+
 // applyDue does what the message or the passing of time has made due. Work over
 // all workers and gangs is done only at ticks.
 func (m *Model) applyDue(now time.Time, tick bool) {
--- a/internal/core/vouch/vouch.go
+++ b/internal/core/vouch/vouch.go
@@ -21,10 +21,10 @@
 )
 
 const (
-	// Term is how long a leader may act after a confirmation, by its own clock, and Margin
-	// what its successor allows for that, by its clock. The difference covers how far two clocks
-	// drift apart meanwhile.
-	Term   = 1900 * time.Millisecond
+	// Term is how long a leader may act after a confirmation, by its own clock.
+	Term = 1900 * time.Millisecond
+	// Margin is what a successor allows for Term, by its clock. The difference covers how
+	// far two clocks drift apart meanwhile.
 	Margin = 2 * time.Second
 	// MaxAlone is how long a leader may act without the store, whoever vouches for it. A
 	// successor that reaches no witness waits for as long.
--- a/internal/edge/fleet/election.go
+++ b/internal/edge/fleet/election.go
@@ -108,7 +108,7 @@
 	t.earlierUntil = h.earlierUntil(previous, withdrawn)
 	ctx, cancel := context.WithTimeout(ctx, leaderCallTimeout)
 	defer cancel()
-	if _, err := h.writeLeaderRow(ctx, writer, store.Change{}, t); err != nil {
+	if err := h.writeLeaderRow(ctx, writer, store.Change{}, t); err != nil {
 		logev.TakeoverFailed.Log(h.log).Int64("epoch", t.epoch).Int64("row-version", row.Version).Err(err).Send()
 		return term{}, nil, false
 	}
@@ -136,7 +136,7 @@
 
 // writeLeaderRow makes a change together with a renewal of the leader row, which confirms
 // the leader's tenure.
-func (h *Host) writeLeaderRow(ctx context.Context, writer *store.FencedWriter, change store.Change, t term) (store.Outcome, error) {
+func (h *Host) writeLeaderRow(ctx context.Context, writer *store.FencedWriter, change store.Change, t term) error {
 	witnesses := t.tenure.sending()
 	outcome, err := writer.Apply(ctx, change, func() []byte {
 		madeAt := h.clock()
@@ -147,7 +147,7 @@
 	if err == nil && outcome.Applied {
 		t.tenure.stored(outcome.FenceValue, outcome.Version, witnesses)
 	}
-	return outcome, err
+	return err
 }
 
 // leaderRowValue returns the value of the leader row with the present time. No two
--- a/internal/edge/fleet/host_test.go
+++ b/internal/edge/fleet/host_test.go
@@ -72,7 +72,7 @@
 func startHostWithSettings(settings setng.Fleet, log *zerolog.Logger, now func() time.Time, workers fleet.Workers) *testHost {
 	meter := metrc.NewFleet()
 	stores := fleet.NewStores(platform.NewStore(settings.Store, settings.Host.ID), log, &meter.Store)
-	host := fleet.New(settings, log, meter, now, stores, workers, platform.NewDirectory(stores.Relayed))
+	host := fleet.New(settings, log, meter, now, stores, workers, platform.NewDirectory(stores.Relayed, log))
 	ingress := platform.NewIngress(host.Frontend(), now)
 	ctx, stop := context.WithCancel(context.Background())
 	h := &testHost{callers: settings.Listen.Callers, stop: stop, done: make(chan struct{})}
--- a/internal/edge/fleet/listen_test.go
+++ b/internal/edge/fleet/listen_test.go
@@ -31,7 +31,7 @@
 	settings.Listen = setng.FleetListen{Callers: freePort(), Ready: freePort(), Peers: taken.Addr().(*net.TCPAddr).AddrPort()}
 	log, meter := zerolog.Nop(), metrc.NewFleet()
 	stores := fleet.NewStores(platform.NewStore(settings.Store, "a"), &log, &meter.Store)
-	host := fleet.New(settings, &log, meter, time.Now, stores, platform.NewWorkers(time.Now), platform.NewDirectory(stores.Relayed))
+	host := fleet.New(settings, &log, meter, time.Now, stores, platform.NewWorkers(time.Now), platform.NewDirectory(stores.Relayed, &log))
 	Expect(host.Run(context.Background(), http.NotFoundHandler(), http.NotFoundHandler())).NotTo(Succeed())
 	for _, address := range []string{settings.Listen.Callers.String(), settings.Listen.Ready.String()} {
 		Eventually(func() error {
--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -127,7 +127,7 @@
 		logev.RowReduced.Log(s.host.log).Int64("epoch", s.epoch).Str("table", key.Table).Str("row", key.Name).Send()
 	}
 	for _, change := range b.changes {
-		if _, err := s.host.writeLeaderRow(ctx, s.writer, change, s.term); err != nil {
+		if err := s.host.writeLeaderRow(ctx, s.writer, change, s.term); err != nil {
 			return err
 		}
 	}
--- a/internal/ops/logev/logev.go
+++ b/internal/ops/logev/logev.go
@@ -21,6 +21,7 @@
 	HostStopped        Event = 102
 	SessionLost        Event = 103
 	SettingsChanged    Event = 104
+	SettingIgnored     Event = 105
 	TableLost          Event = 110
 	TableBack          Event = 111
 	ConfigStale        Event = 112
@@ -105,6 +106,7 @@
 	{HostStopped, "host-stopped", zerolog.InfoLevel, "The stop is complete; the line counts the requests or listeners that were cut off."},
 	{SessionLost, "session-lost", zerolog.ErrorLevel, "Another process has written this host's session row and the host stops, or the session was not closed at a stop; the message tells which."},
 	{SettingsChanged, "settings-changed", zerolog.InfoLevel, "The host received SIGHUP: its settings file has changed and takes effect at the next start."},
+	{SettingIgnored, "setting-ignored", zerolog.WarnLevel, "A value of the settings file cannot be used; its default holds."},
 	{TableLost, "table-lost", zerolog.WarnLevel, "The platform's store does not answer this host."},
 	{TableBack, "table-back", zerolog.InfoLevel, "The platform's store answers this host again."},
 	{StoreDetour, "store-detour", zerolog.WarnLevel, "The platform's store does not answer this host directly; calls go through peers as well."},
--- a/internal/ops/setng/fleet.go
+++ b/internal/ops/setng/fleet.go
@@ -133,21 +133,39 @@
 // ParseFleet reads and checks the content of a settings file. Errors give the
 // file as name.
 func ParseFleet(name string, data []byte) (Fleet, error) {
-	f := DefaultFleet()
+	root, err := parseFile(name, data)
+	if err != nil {
+		return Fleet{}, err
+	}
+	f, err := decodeFleet(name, root)
+	if err != nil {
+		return Fleet{}, err
+	}
+	return f, f.check(name)
+}
+
+// parseFile returns the content of a settings file.
+func parseFile(name string, data []byte) (*yaml.Node, error) {
 	var root yaml.Node
 	if err := yaml.Unmarshal(data, &root); err != nil {
-		return Fleet{}, invalid(name, 0, "", err.Error())
+		return nil, invalid(name, 0, "", err.Error())
 	}
 	if len(root.Content) == 0 {
-		return Fleet{}, invalid(name, 1, "", "the file is empty")
+		return nil, invalid(name, 1, "", "the file is empty")
 	}
-	if err := checkKeys(name, root.Content[0], encodeNode(f), ""); err != nil {
+	return root.Content[0], nil
+}
+
+// decodeFleet returns the settings with the values under root in place of the defaults.
+func decodeFleet(name string, root *yaml.Node) (Fleet, error) {
+	f := DefaultFleet()
+	if err := checkKeys(name, root, encodeNode(f), ""); err != nil {
 		return Fleet{}, err
 	}
 	if err := root.Decode(&f); err != nil {
 		return Fleet{}, invalid(name, 0, "", err.Error())
 	}
-	return f, f.check(name)
+	return f, nil
 }
 
 func (f Fleet) check(name string) error {
--- a/internal/ops/setng/setng.go
+++ b/internal/ops/setng/setng.go
@@ -203,9 +203,17 @@
 	if key != "" {
 		where += ": " + key
 	}
-	return errors.Wrap(ErrInvalid, where+": "+problem)
+	return &keyError{error: errors.Wrap(ErrInvalid, where+": "+problem), key: key}
 }
 
+// keyError is a problem with the value of a key, or with the file if the key is empty.
+type keyError struct {
+	error
+	key string
+}
+
+func (e *keyError) Unwrap() error { return e.error }
+
 // Level returns the log level, or info if the settings hold no valid one.
 func (s Settings) Level() zerolog.Level {
 	level, err := zerolog.ParseLevel(s.Log.Level)
--- a/internal/ops/verbs/audit.go
+++ b/internal/ops/verbs/audit.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/rs/zerolog"
+
 	"github.com/rattanshore/rattanshore/internal/core/amount"
 	"github.com/rattanshore/rattanshore/internal/core/rules"
 	"github.com/rattanshore/rattanshore/internal/core/sched"
@@ -212,7 +214,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, documentReadTimeout)
 	defer cancel()
-	directory := platform.NewDirectory(store.NewClient(platform.NewStore(parsed, "document-check"), &metrc.NewFleet().Store))
+	log := zerolog.Nop()
+	directory := platform.NewDirectory(store.NewClient(platform.NewStore(parsed, "document-check"), &metrc.NewFleet().Store), &log)
 	changes, err := directory.OperatorChanges(ctx, 0, 0)
 	if err != nil {
 		return nil, nil, errors.Mark(err, errUnreachable)
--- a/internal/ops/verbs/fleet.go
+++ b/internal/ops/verbs/fleet.go
@@ -23,19 +23,23 @@
 // are dropped and counted.
 const logBufferLines = 4096
 
-// serveFleet runs a host that schedules the platform's workers, until SIGTERM.
-func serveFleet(ctx context.Context, settings setng.Fleet) error {
+// serveFleet runs a host that schedules the platform's workers, until SIGTERM. problems
+// describes settings that could not be used.
+func serveFleet(ctx context.Context, settings setng.Fleet, problems []string) error {
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	metrics := metrc.NewFleet()
 	out := diode.NewWriter(os.Stdout, logBufferLines, 0, metrics.LogsDropped.Add)
 	defer func() { _ = out.Close() }()
 	log := zerolog.New(out).Level(settings.Level()).With().Timestamp().Str("host", settings.Host.ID).Logger()
+	for _, problem := range problems {
+		logev.SettingIgnored.Log(&log).Str("problem", problem).Send()
+	}
 	steadyClock := clock.New()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	go logReloadSignals(ctx, &log)
 	stores := fleet.NewStores(platform.NewStore(settings.Store, settings.Host.ID), &log, &metrics.Store)
-	host := fleet.New(settings, &log, metrics, steadyClock.Now, stores, platform.NewWorkers(steadyClock.Now), platform.NewDirectory(stores.Relayed))
+	host := fleet.New(settings, &log, metrics, steadyClock.Now, stores, platform.NewWorkers(steadyClock.Now), platform.NewDirectory(stores.Relayed, &log))
 	ingress := platform.NewIngress(host.Frontend(), steadyClock.Now)
 	return host.Run(ctx, ingress, http.HandlerFunc(ingress.Ready))
 }
--- a/internal/ops/verbs/serve.go
+++ b/internal/ops/verbs/serve.go
@@ -28,11 +28,11 @@
 		Args:  exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if fleetMode {
-				settings, err := setng.LoadFleet(file)
+				settings, problems, err := setng.LoadUsableFleet(file)
 				if err != nil {
 					return err
 				}
-				return serveFleet(cmd.Context(), settings)
+				return serveFleet(cmd.Context(), settings, problems)
 			}
 			settings, err := setng.Load(file, os.Getenv)
 			if err != nil {
