--- a/internal/core/plan/world_test.go
+++ b/internal/core/plan/world_test.go
@@ -78,22 +78,6 @@
 	fails func(task plan.TaskID, worker string) bool
 }
 
-// planner is one leader. Only the newest epoch can store rows.
-type planner struct {
-	epoch      int64
-	model      *plan.Model
-	superseded bool
-	// actsUntil is until when a planner acts that has been replaced and does not know it.
-	actsUntil time.Time
-	// cutOff is set for a planner that reaches partitioned workers only, and no store.
-	cutOff bool
-}
-
-// mayAct reports whether the planner starts tasks and renews leases.
-func (p *planner) mayAct(now time.Time) bool {
-	return p.actsUntil.IsZero() || now.Before(p.actsUntil)
-}
-
 type event struct {
 	at     time.Time
 	serial int
