A successor without a witness goes on asking for one to withdraw

Callers would see: after a restart of all hosts, the first one may take over before a witness of the leader before is up, and allows that leader a minute. Tasks on workers that do not answer wait for as long (LOST, if their workers are gone). Not seen; found by reading the mend of the hand-over.

Cause: the allowance was fixed at the takeover.

The planner shortens the wait for workers that have not answered yet.

Measured: TestWitnessThatWithdrawsLateEndsTheWait; planted faults are still found.

--- a/internal/core/plan/cut_test.go
+++ b/internal/core/plan/cut_test.go
@@ -48,6 +48,18 @@
 	g.Expect(w.Problems()).To(BeEmpty(), "leader without a witness that has left")
 }
 
+// Guards against work that waits for an earlier leader although one of its witnesses has
+// withdrawn after the takeover, and against work that is then started too soon.
+func TestWitnessThatWithdrawsLateEndsTheWait(t *testing.T) {
+	g := NewWithT(t)
+	task := plan.TaskID{Job: "0000000000000001"}
+	w := cutLeader(12*time.Second+vouch.Term, 12*time.Second, func(now time.Time) time.Time { return now.Add(vouch.MaxAlone + vouch.Margin) })
+	w.sendTo(w.planners[1], plan.EarlierLeadersMsg{ActUntil: w.now.Add(vouch.Margin)})
+	w.run(vouch.Margin + 7*time.Second)
+	g.Expect(w.Starts(task)).To(Equal(2))
+	g.Expect(w.Problems()).To(BeEmpty())
+}
+
 // Guards against a check that finds nothing: an earlier leader that acts for longer than
 // its successor allows runs tasks twice.
 func TestLeaderThatActsForTooLongIsFound(t *testing.T) {
--- a/internal/core/plan/lease.go
+++ b/internal/core/plan/lease.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/rattanshore/rattanshore/internal/core/vouch"
 )
 
 const (
@@ -16,6 +18,17 @@
 	return later(now, m.earlierUntil.Add(m.longestLease()))
 }
 
+// setEarlierUntil sets until when earlier leaders may act. Workers that have not answered
+// this leader keep what earlier leaders may have granted them for no longer than that.
+func (m *Model) setEarlierUntil(now, until time.Time) {
+	m.earlierUntil = later(m.leaderSince.Add(vouch.Margin), until)
+	for _, w := range m.sortedWorkers {
+		if w.inRoster && !w.synced {
+			w.inheritedUntil = earlier(w.inheritedUntil, m.inheritedLease(now))
+		}
+	}
+}
+
 // longestLease returns how long any lease may last by a slow clock.
 func (m *Model) longestLease() time.Duration {
 	return time.Duration(float64(m.timing.LongestLease)*(1+clockDrift)) + clockMargin
--- a/internal/core/plan/msg.go
+++ b/internal/core/plan/msg.go
@@ -39,7 +39,8 @@
 func (RunTimesMsg) isMsg() {}
 
 // EarlierLeadersMsg reports until when earlier leaders may start tasks and renew leases. A
-// planner that gets none allows for a leader that the store alone confirms.
+// planner that gets none allows for a leader that the store alone confirms. A later message
+// may report an earlier time.
 type EarlierLeadersMsg struct {
 	ActUntil time.Time
 }
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -232,7 +232,7 @@
 func (m *Model) load(now time.Time, msg Msg) {
 	switch msg := msg.(type) {
 	case EarlierLeadersMsg:
-		m.earlierUntil = later(m.earlierUntil, msg.ActUntil)
+		m.setEarlierUntil(now, msg.ActUntil)
 	case RosterMsg:
 		m.addRoster(now, msg.Workers)
 	case RunTimesMsg:
--- a/internal/core/vouch/orders_test.go
+++ b/internal/core/vouch/orders_test.go
@@ -69,10 +69,11 @@
 	restarted [2]bool
 
 	// The successor: the row that it has read, its call to each witness, whether one has
-	// withdrawn, its takeover, and when it sent that.
+	// withdrawn and when it learned that, its takeover, and when it sent that.
 	read        leaderRow
 	withdrawals [2]stage
 	withdrew    bool
+	withdrewAt  int8
 	takeover    stage
 	takeoverAt  int8
 }
@@ -153,7 +154,7 @@
 		return true
 	}
 	leader := record.Leader{Host: "leader", Epoch: 1, Bounded: true, Witnesses: c.named(w.read.names)}
-	return !c.actsUntil(w).After(ActsUntil(at(w.takeoverAt), leader, w.withdrew))
+	return !c.actsUntil(w).After(ActsUntil(at(max(w.takeoverAt, w.withdrewAt)), leader, w.withdrew))
 }
 
 // explore follows all events that may come next.
@@ -252,12 +253,12 @@
 		next.withdrawn[i] = max(w.withdrawn[i], w.read.version)
 		next.withdrawals[i] = carriedOut
 		c.explore(next)
-	case w.withdrawals[i] == carriedOut && !w.withdrew && w.takeover == idle:
+	case w.withdrawals[i] == carriedOut && !w.withdrew:
 		incarnation := "first"
 		if w.restarted[i] {
 			incarnation = "second"
 		}
-		next.withdrew = Withdrawn(witness(i), fmt.Sprint(i), incarnation, !w.restarted[i])
+		next.withdrew, next.withdrewAt = Withdrawn(witness(i), fmt.Sprint(i), incarnation, !w.restarted[i]), w.now
 		c.explore(next)
 	}
 	if i == 1 && !w.restarted[i] {
@@ -283,7 +284,7 @@
 			next.withdrawals[i] = sent
 			c.explore(next)
 		}
-	case w.read.version > 0 && w.takeover == idle && (w.withdrew || !w.read.names || c.skipsWithdrawal):
+	case w.read.version > 0 && w.takeover == idle:
 		next.takeover, next.takeoverAt = sent, w.now
 		next.withdrew = w.withdrew || c.skipsWithdrawal
 		c.explore(next)
@@ -311,7 +312,7 @@
 		self, names bool
 	}{
 		{0, false, false}, {0, false, true}, {0, true, false}, {0, true, true},
-		{slowClock, false, true}, {-slowClock, false, true},
+		{slowClock, true, true}, {-slowClock, true, true},
 	} {
 		c := &check{selfWitness: o.self, slow: o.slow}
 		c.run(o.names)
--- a/internal/edge/fleet/election.go
+++ b/internal/edge/fleet/election.go
@@ -101,11 +101,12 @@
 // takeOver writes the leader row with a new epoch, once a witness of the leader before has
 // withdrawn or none can be reached. It reports whether this host has become the leader.
 func (h *Host) takeOver(ctx context.Context, row store.Row, previous record.Leader) (term, *store.FencedWriter, bool) {
-	withdrawn := h.leaderGone(previous) || h.withdrawWitness(ctx, previous, row.Version)
-	writer := store.NewFencedWriter(h.store, leaderKey, row.Version)
 	t := nextTerm(previous)
+	t.previous, t.previousVersion = previous, row.Version
+	t.withdrawn = h.leaderGone(previous) || h.withdrawWitness(ctx, previous, row.Version)
 	t.tenure = newTenure(h, t.epoch, previous.Witnesses)
-	t.earlierUntil = h.earlierUntil(previous, withdrawn)
+	t.tenure.allow(h.earlierUntil(previous, t.withdrawn))
+	writer := store.NewFencedWriter(h.store, leaderKey, row.Version)
 	ctx, cancel := context.WithTimeout(ctx, leaderCallTimeout)
 	defer cancel()
 	if err := h.writeLeaderRow(ctx, writer, store.Change{}, t); err != nil {
@@ -115,7 +116,7 @@
 	h.meter.Takeovers.Inc()
 	logev.LeaderTaken.Log(h.log).Int64("epoch", t.epoch).Str("before", previous.Host).
 		Stringer("silent-for", h.leaderAge(previous)).Int64("row-version", row.Version).
-		Bool("witness-withdrawn", withdrawn).Stringer("earlier-for", t.earlierUntil.Sub(h.clock())).Send()
+		Bool("witness-withdrawn", t.withdrawn).Stringer("earlier-for", t.tenure.allowance().Sub(h.clock())).Send()
 	return t, writer, true
 }
 
@@ -158,9 +159,9 @@
 		RenewedAtMs: h.store.Clock().UnixMilli(), WithholdingSince: t.withholdingSince,
 		Bounded: true, Witnesses: witnesses,
 	}
-	if t.earlierUntil.After(h.clock().Add(vouch.Margin)) {
+	if until := t.tenure.allowance(); until.After(h.clock().Add(vouch.Margin)) {
 		// The next leader allows Margin in any case.
-		leader.EarlierUntilMs = t.earlierUntil.Add(storeClockMargin - h.aheadOfStore()).UnixMilli()
+		leader.EarlierUntilMs = until.Add(storeClockMargin - h.aheadOfStore()).UnixMilli()
 	}
 	value, err := encode(leader)
 	if err != nil {
--- a/internal/edge/fleet/feeds.go
+++ b/internal/edge/fleet/feeds.go
@@ -47,7 +47,7 @@
 // loadAndFollow loads the state that earlier leaders stored, retrying until it
 // succeeds, and then follows the changes of jobs and workers.
 func (s *session) loadAndFollow(ctx context.Context) {
-	s.runner.Send(plan.EarlierLeadersMsg{ActUntil: s.earlierUntil})
+	s.runner.Send(plan.EarlierLeadersMsg{ActUntil: s.tenure.allowance()})
 	s.sendOperatorState()
 	var after int64
 	for ctx.Err() == nil {
--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -58,6 +58,7 @@
 	go s.loadAndFollow(ctx)
 	go s.tenure.keepVouched(ctx)
 	go s.tenure.keepWitnesses(ctx)
+	go s.seekWithdrawal(ctx)
 	s.runner.Run(ctx)
 	<-s.writerDone
 	return context.Cause(ctx)
--- a/internal/edge/fleet/withhold.go
+++ b/internal/edge/fleet/withhold.go
@@ -19,10 +19,13 @@
 	// one that obey what the roster says of withheld workers. trustedSince is the same
 	// for the leader before, or 0 if that one did not obey it.
 	withholdingSince, trustedSince int64
-	// earlierUntil is until when earlier leaders may act.
-	earlierUntil time.Time
-	// tenure is for how long this leader may act.
+	// tenure is for how long this leader and earlier ones may act.
 	tenure *tenure
+	// previous is the row of the leader before, at its version, and withdrawn is set if one
+	// of its witnesses had withdrawn before the takeover or none vouches for it.
+	previous        record.Leader
+	previousVersion int64
+	withdrawn       bool
 }
 
 // nextTerm returns the term after that of the previous leader, which may be of a
--- a/internal/edge/fleet/witness.go
+++ b/internal/edge/fleet/witness.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rattanshore/rattanshore/internal/core/plan"
 	"github.com/rattanshore/rattanshore/internal/core/vouch"
 	"github.com/rattanshore/rattanshore/internal/edge/relay"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
@@ -74,6 +75,25 @@
 	return false
 }
 
+// seekWithdrawal has a witness of the leader before withdraw, if none could be reached
+// before the takeover, and reports when one has: earlier leaders then act for no longer than
+// the planner allows them from then on.
+func (s *session) seekWithdrawal(ctx context.Context) {
+	for ctx.Err() == nil && !s.withdrawn && s.host.clock().Before(s.tenure.allowance()) {
+		if s.host.withdrawWitness(ctx, s.previous, s.previousVersion) {
+			until := s.host.earlierUntil(s.previous, true)
+			if until.Before(s.tenure.allowance()) {
+				s.tenure.allow(until)
+				s.runner.Send(plan.EarlierLeadersMsg{ActUntil: until})
+			}
+			logev.WitnessWithdrawn.Log(s.host.log).Int64("epoch", s.epoch).Str("before", s.previous.Host).
+				Stringer("earlier-for", until.Sub(s.host.clock())).Send()
+			return
+		}
+		sleep(ctx, vouchInterval)
+	}
+}
+
 // askWitness sends a call to a witness.
 func (h *Host) askWitness(ctx context.Context, w record.Witness, call func(context.Context, netip.AddrPort, int64) (relay.Testimony, error), version int64) (relay.Testimony, error) {
 	address, err := netip.ParseAddrPort(w.Address)
@@ -98,6 +118,8 @@
 	witnesses []record.Witness
 	// lapsed is set while the leader may not act.
 	lapsed bool
+	// earlierUntil is until when earlier leaders may act.
+	earlierUntil time.Time
 }
 
 // newTenure returns the tenure of a leader whose first row names the witnesses of the leader
@@ -148,6 +170,20 @@
 	return !lapsed
 }
 
+// allowance returns until when earlier leaders may act.
+func (t *tenure) allowance() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.earlierUntil
+}
+
+// allow records until when earlier leaders may act.
+func (t *tenure) allow(until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.earlierUntil = until
+}
+
 // state returns the version of the newest row that is known to be stored, the witnesses
 // that have to vouch, and whether the store has been silent for long.
 func (t *tenure) state() (version int64, named []record.Witness, silent bool) {
--- a/internal/ops/logev/logev.go
+++ b/internal/ops/logev/logev.go
@@ -45,6 +45,7 @@
 	RowReduced         Event = 158
 	LeaderUnconfirmed  Event = 159
 	LeaderConfirmed    Event = 160
+	WitnessWithdrawn   Event = 161
 	ConfigInForce      Event = 140
 	ConfigAccepted     Event = 141
 	ConfigRefused      Event = 142
@@ -129,6 +130,7 @@
 	{RowReduced, "row-reduced", zerolog.WarnLevel, "A row would be too large for the store; checkpoints, losses or expected delays are left out of it."},
 	{LeaderUnconfirmed, "leader-unconfirmed", zerolog.WarnLevel, "Neither the store nor all its witnesses have confirmed the leader lately, or its process stood still; it starts nothing and renews no lease until they do."},
 	{LeaderConfirmed, "leader-confirmed", zerolog.InfoLevel, "The leader is confirmed again and goes on."},
+	{WitnessWithdrawn, "witness-withdrawn", zerolog.InfoLevel, "A witness of the leader before has withdrawn after the takeover; earlier leaders act only for as long as the line says."},
 	{RowSkipped, "row-skipped", zerolog.WarnLevel, "A row of the store cannot be read; it is skipped and not changed."},
 	{ConfigInForce, "config-in-force", zerolog.InfoLevel, "Decisions follow this configuration version from now on."},
 	{ConfigAccepted, "config-accepted", zerolog.InfoLevel, "An operator's change was committed as this version."},
