The last resort changes nothing for gangs that do not need it

Cause: gangs that had waited for 1.5 s had a placement key of their own in each pass. A gang is skipped if another with the same key has failed, attempts to preempt included; so urgent gangs that were late already made attempts of their own.

--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -39,7 +39,7 @@
 		r.gang.position = i
 	}
 	m.renewClaims(now, ranked)
-	failed := failedKeys{noPlaces: map[placementKey]bool{}, noHeadroom: map[placementKey]bool{}}
+	failed := failedKeys{noPlaces: map[placementKey]bool{}, noHeadroom: map[placementKey]bool{}, noLastResort: map[placementKey]bool{}}
 	for len(ranked) > 0 {
 		n := 1
 		for n < len(ranked) && ranked[n].band() == ranked[0].band() {
@@ -73,6 +73,8 @@
 // there are no places for them, or since these would take headroom.
 type failedKeys struct {
 	noPlaces, noHeadroom map[placementKey]bool
+	// noLastResort holds the keys of gangs that need no last resort or have found none.
+	noLastResort map[placementKey]bool
 }
 
 // has reports whether a gang with the key would fail as well.
@@ -109,21 +111,21 @@
 	}
 	key := r.placementKey(now)
 	key.risk = m.riskLimitsOf(now, g)
-	key.lastResort = g.mayUseLastResort(now)
 	shared := len(g.claim.workers) == 0 && r.ageing == young
 	mayUseHeadroom := m.mayUseHeadroom(now, r)
-	if shared && failed.has(key, mayUseHeadroom) {
-		// The gang that has failed may not have been allowed to reclaim.
-		m.reclaim(now, r)
-		return
-	}
-	places := m.findPlaces(now, g, nil)
+	skip := shared && failed.has(key, mayUseHeadroom)
+	places := m.anyPlaces(now, g, key, failed, skip)
 	if places != nil && (mayUseHeadroom || m.leavesHeadroom(now, r, places)) {
 		m.dequeue(g)
 		g.aged = r.ageing != young
 		m.place(now, g, places)
 		return
 	}
+	if skip {
+		// The gang that has failed may not have been allowed to reclaim.
+		m.reclaim(now, r)
+		return
+	}
 	if r.priority == 0 && m.preempt(now, g) {
 		return
 	}
@@ -135,6 +137,17 @@
 	}
 }
 
+// anyPlaces returns places for the gang, of the last resort if there are no others. The
+// usual ones are skipped if they were looked for in vain for another gang.
+func (m *Model) anyPlaces(now time.Time, g *gang, key placementKey, failed failedKeys, skipUsual bool) []*worker {
+	if !skipUsual {
+		if places := m.findPlaces(now, g, nil); places != nil {
+			return places
+		}
+	}
+	return m.lastResortPlaces(now, g, key, failed)
+}
+
 // freeOverlay overrides the free capacity of some workers, to try out a
 // placement that needs other gangs to be stopped first.
 type freeOverlay struct {
@@ -163,17 +176,6 @@
 // findPlaces returns a worker for each task of the gang, or nil. The overlay
 // replaces the workers' free capacity where it has an entry.
 func (m *Model) findPlaces(now time.Time, g *gang, overlay *freeOverlay) []*worker {
-	places := m.findUsualPlaces(now, g, overlay)
-	if places != nil || !m.needsLastResort(now, g) {
-		return places
-	}
-	g.lastResort = true
-	defer func() { g.lastResort = false }()
-	return m.findPlacesAmong(now, g, overlay, m.view.reachable[g.job.queue.Target])
-}
-
-// findUsualPlaces does the same on workers that the gang has no reason to avoid.
-func (m *Model) findUsualPlaces(now time.Time, g *gang, overlay *freeOverlay) []*worker {
 	s := g.spec()
 	if s.NearRack != "" {
 		if places := m.findPlacesAmong(now, g, overlay, m.workersNearData(g)); places != nil {
--- a/internal/core/plan/rank.go
+++ b/internal/core/plan/rank.go
@@ -155,8 +155,6 @@
 	// isolatedJob is the job of a gang with crashes, which may use only workers that run
 	// nothing of another job.
 	isolatedJob string
-	// lastResort is set for a gang that may use workers which it otherwise avoids.
-	lastResort bool
 	// risk decides which workers are too risky for the gang.
 	risk riskLimits
 }
