--- /dev/null
+++ b/review/rig2/cases.go
@@ -0,0 +1,329 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// cases holds each case by its name. A case returns how the rule was broken, or "".
+var cases = map[string]func(*site) string{
+	"silent-minion":  silentMinion,
+	"lasting-tasks":  lastingTasks,
+	"removed-queue":  removedQueue,
+	"waiting-counts": waitingCounts,
+	"no-gpu-rack":    noGPURack,
+}
+
+// full is what a minion of the users' small deployments has.
+var full = amount{CPU: 128000, Memory: 524288, GPU: 8}
+
+// step returns a step of a job.
+func step(count int, need amount, estimate int, more map[string]any) map[string]any {
+	s := map[string]any{"count": count, "cpu": need.CPU, "mem_mb": need.Memory, "gpu": need.GPU, "estimate_ms": estimate}
+	for name, value := range more {
+		s[name] = value
+	}
+	return s
+}
+
+func job(steps ...map[string]any) map[string]any {
+	return map[string]any{"spec": "toll", "steps": steps}
+}
+
+// kinds tells what the tasks of jobs are.
+type kinds struct {
+	mu sync.Mutex
+	of map[string]taskKind
+}
+
+func newKinds() *kinds { return &kinds{of: map[string]taskKind{}} }
+
+func (k *kinds) set(job string, kind taskKind) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.of[job] = kind
+}
+
+func (k *kinds) find(task string, _ int) (taskKind, bool) {
+	id, _, _ := strings.Cut(task, ".")
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	kind, known := k.of[id]
+	return kind, known
+}
+
+// idOf returns the identifier of the case's job with a number.
+func idOf(n int) string { return fmt.Sprintf("%016x", 0x5c0e7a2100000000+n) }
+
+// seconds returns the length of time that the environment variable gives, or the usual one.
+func seconds(name string, usual float64) time.Duration {
+	if x, err := strconv.ParseFloat(os.Getenv(name), 64); err == nil {
+		usual = x
+	}
+	return time.Duration(usual * float64(time.Second))
+}
+
+// silentMinion cuts one of six minions off while the gang on it ends. Once it is back,
+// a job that only it may run has to run.
+func silentMinion(s *site) string {
+	var minions []*minion
+	for i := range 6 {
+		kind := "a"
+		if i == 0 {
+			kind = "b"
+		}
+		minions = append(minions, &minion{
+			id: fmt.Sprintf("i-%02d", i), zone: fmt.Sprintf("zone-%c", 'a'+i%4), capacity: full,
+			labels: []string{kind, fmt.Sprintf("r1-%d", i/3)},
+		})
+	}
+	k := newKinds()
+	s.open(minions...)
+	s.fleet.kindOf = k.find
+	s.configure(3, queue("peal", 1))
+	s.startHosts(3)
+	gang, later := idOf(1), idOf(2)
+	k.set(gang, taskKind{need: full, length: 4 * time.Second, how: "done", gang: 6})
+	k.set(later, taskKind{need: amount{CPU: 15000, Memory: 44000, GPU: 1}, length: 2 * time.Second, how: "done"})
+	s.submit(s.hosts[0], "peal", gang, job(step(6, full, 4000, map[string]any{"gang": true})))
+	s.await(8*time.Second, "the gang is at work", func() bool { return s.fleet.running(gang) == 6 })
+	first := minions[0]
+	// The lease was renewed up to 1.2 s ago when the cut begins.
+	time.Sleep(1200 * time.Millisecond)
+	s.await(4*time.Second, "a renewal of the lease", func() bool {
+		s.fleet.mu.Lock()
+		defer s.fleet.mu.Unlock()
+		since := time.Since(first.holdSeen)
+		return since > 700*time.Millisecond && since < 1000*time.Millisecond
+	})
+	if s.trouble {
+		s.setCut(first, true)
+		time.Sleep(seconds("CUT_S", 5.5))
+		s.setCut(first, false)
+	}
+	s.await(10*time.Second, "the gang's job is completed", func() bool {
+		return s.state(s.hosts[1], "peal", gang) == "completed"
+	})
+	// All are in touch again before the next job comes.
+	time.Sleep(4 * time.Second)
+	s.submit(s.hosts[1], "peal", later, job(step(1, amount{CPU: 15000, Memory: 44000, GPU: 1}, 2000, map[string]any{"required_label": "b"})))
+	if s.within(20*time.Second, func() bool { return s.fleet.running(later) > 0 || s.ended(later) }) {
+		return ""
+	}
+	s.state(s.hosts[2], "peal", later)
+	return "LOST: 20 s after its acknowledgement the job " + later + " has not begun, though " + first.id +
+		", the one minion with its label, has run nothing since it came back"
+}
+
+func (s *site) setCut(m *minion, cut bool) {
+	s.fleet.mu.Lock()
+	m.cut = cut
+	s.fleet.mu.Unlock()
+	s.log.add("minion cut off from all machines", "minion", m.id, "cut", cut)
+}
+
+// ended reports whether a run of the job has ended.
+func (s *site) ended(job string) bool {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	for _, m := range s.fleet.minions {
+		for task := range m.ended {
+			if strings.HasPrefix(task, job+".") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// lastingTasks lets two tasks that last fail by turns, each a while after the other, on a
+// minion with room for four.
+func lastingTasks(s *site) string {
+	first := &minion{id: "i-00", zone: "zone-a", capacity: full, labels: []string{"a", "r1-0"}}
+	second := &minion{id: "i-01", zone: "zone-b", capacity: full, labels: []string{"a", "r1-1"}}
+	k := newKinds()
+	s.open(first, second)
+	s.fleet.kindOf = k.find
+	s.configure(3, queue("peal", 1))
+	s.startHosts(3)
+	large, a, b := idOf(1), idOf(2), idOf(3)
+	small := amount{CPU: 15000, Memory: 44000, GPU: 2}
+	k.set(large, taskKind{need: full})
+	k.set(a, taskKind{need: small})
+	k.set(b, taskKind{need: small})
+	lasts := map[string]any{"perpetual": true}
+	s.submit(s.hosts[0], "peal", large, job(step(1, full, 60000, lasts)))
+	s.await(8*time.Second, "the large task is at work", func() bool { return s.fleet.running(large) == 1 })
+	s.submit(s.hosts[1], "peal", a, job(step(1, small, 60000, lasts)))
+	s.submit(s.hosts[2], "peal", b, job(step(1, small, 60000, lasts)))
+	bothRun := func() bool { return s.fleet.running(a) == 1 && s.fleet.running(b) == 1 }
+	s.await(8*time.Second, "both small tasks are at work", bothRun)
+	pause := seconds("PAUSE_S", 12)
+	for i := range 5 {
+		time.Sleep(pause)
+		failing := []string{a, b}[i%2]
+		if !s.trouble {
+			continue
+		}
+		if s.fleet.running(failing) != 1 {
+			return "LOST: " + failing + " does not run before it was to fail"
+		}
+		s.fleet.fail(failing)
+		failedAt := time.Now()
+		for s.fleet.running(failing) == 0 && time.Since(failedAt) < 14*time.Second {
+			time.Sleep(20 * time.Millisecond)
+		}
+		down := time.Since(failedAt)
+		s.log.add("the task is at work again, or given up on", "job", failing, "down", down.Round(10*time.Millisecond))
+		if down > 9*time.Second+500*time.Millisecond {
+			return "LOST: a task that lasts had nothing running from 6 s after its last run for more than 3 s, with room for it three times over"
+		}
+	}
+	return ""
+}
+
+// removedQueue removes the route of a job that is accepted for later, and then restarts
+// the hosts one after the other, as a release does.
+func removedQueue(s *site) string {
+	var minions []*minion
+	for i := range 4 {
+		minions = append(minions, &minion{
+			id: fmt.Sprintf("i-%02d", i), zone: fmt.Sprintf("zone-%c", 'a'+i), capacity: full,
+			labels: []string{"a", fmt.Sprintf("r1-%d", i/2)},
+		})
+	}
+	k := newKinds()
+	s.open(minions...)
+	s.fleet.kindOf = k.find
+	s.configure(3, queue("peal", 1), queue("toll", 1))
+	s.startHosts(3)
+	id := idOf(1)
+	need := amount{CPU: 15000, Memory: 44000, GPU: 1}
+	k.set(id, taskKind{need: need, length: 2 * time.Second, how: "done"})
+	due := time.Now().Add(40 * time.Second)
+	timed := job(step(1, need, 2000, nil))
+	timed["times"], timed["start_at_ms"], timed["interval_ms"] = 2, due.UnixMilli(), 4000
+	s.submit(s.hosts[0], "toll", id, timed)
+	time.Sleep(3 * time.Second)
+	if s.trouble {
+		s.configure(8, queue("peal", 1))
+		time.Sleep(5 * time.Second)
+		if os.Getenv("RESTART") != "0" {
+			for _, h := range s.hosts {
+				s.restart(h)
+			}
+		}
+	}
+	time.Sleep(time.Until(due) - time.Second)
+	s.log.add("the job is due")
+	if s.within(25*time.Second, func() bool { return s.fleet.running(id) > 0 || s.ended(id) }) {
+		return ""
+	}
+	return "LOST: 24 s after its time the job " + id + " has not begun, with all minions empty"
+}
+
+// waitingCounts lets jobs wait beside a minion that refuses all starts, and asks how many
+// wait.
+func waitingCounts(s *site) string {
+	var minions []*minion
+	for i := range 7 {
+		minions = append(minions, &minion{
+			id: fmt.Sprintf("i-%02d", i), zone: fmt.Sprintf("zone-%c", 'a'+i%4), capacity: full,
+			labels: []string{"a", fmt.Sprintf("r1-%d", i/4)},
+		})
+	}
+	k := newKinds()
+	s.open(minions...)
+	s.fleet.kindOf = k.find
+	s.configure(3, queue("peal", 1), queue("toll", 1))
+	s.startHosts(3)
+	large := idOf(1)
+	k.set(large, taskKind{need: full, length: 60 * time.Second, how: "done"})
+	s.submit(s.hosts[0], "peal", large, job(step(6, full, 60000, nil)))
+	s.await(8*time.Second, "six minions are full", func() bool { return s.fleet.running(large) == 6 })
+	if !s.trouble {
+		// The seventh is full, too, so that the jobs wait as well.
+		k.set(idOf(2), taskKind{need: full, length: 60 * time.Second, how: "done"})
+		s.submit(s.hosts[0], "peal", idOf(2), job(step(1, full, 60000, nil)))
+		s.await(8*time.Second, "the seventh is full", func() bool { return s.fleet.running(idOf(2)) == 1 })
+	}
+	for _, m := range minions {
+		s.fleet.mu.Lock()
+		m.shedding = s.trouble && len(m.runs) == 0
+		if m.shedding {
+			s.log.add("minion refuses all starts", "minion", m.id)
+		}
+		s.fleet.mu.Unlock()
+	}
+	shedFrom := time.Now()
+	need := amount{CPU: 15000, Memory: 44000, GPU: 1}
+	const jobs = 8
+	for i := range jobs {
+		k.set(idOf(10+i), taskKind{need: need, length: 20 * time.Second, how: "done"})
+		s.submit(s.hosts[i%3], "toll", idOf(10+i), job(step(1, need, 20000, nil)))
+	}
+	acceptedAt := time.Now()
+	// visible_ms and 2 s more after the last acknowledgement.
+	time.Sleep(time.Until(acceptedAt.Add(5200 * time.Millisecond)))
+	begun := 0
+	for i := range jobs {
+		if s.fleet.running(idOf(10+i)) > 0 || s.ended(idOf(10+i)) {
+			begun++
+		}
+	}
+	broken := ""
+	for _, h := range s.hosts {
+		status, answer, err := s.send("GET", "http://"+h.front+"/toll/", hostName, nil)
+		s.log.add("GET waiting", "host", h.name, "status", status, "answer", answer, "error", err, "accepted", jobs, "begun", begun)
+		waiting, ok := answer["waiting"].(float64)
+		if ok && status == 200 && 2*int(waiting) < jobs-begun {
+			broken = fmt.Sprintf("MIXED: %s gives %d jobs as waiting, of %d that were accepted over 5 s before and have not begun", h.name, int(waiting), jobs-begun)
+		}
+	}
+	s.log.add("the minion has refused starts", "seconds", time.Since(shedFrom).Seconds())
+	s.fleet.mu.Lock()
+	for _, m := range minions {
+		m.shedding = false
+	}
+	s.fleet.mu.Unlock()
+	return broken
+}
+
+// noGPURack lets a job with its data in a full rack wait while all other racks are empty,
+// on minions without GPUs.
+func noGPURack(s *site) string {
+	plain := amount{CPU: 128000, Memory: 524288}
+	if !s.trouble {
+		plain.GPU = 8
+	}
+	var minions []*minion
+	for i := range 4 {
+		minions = append(minions, &minion{
+			id: fmt.Sprintf("i-%02d", i), zone: fmt.Sprintf("zone-%c", 'a'+i%4), capacity: plain,
+			labels: []string{"a", fmt.Sprintf("r1-%d", i)},
+		})
+	}
+	k := newKinds()
+	s.open(minions...)
+	s.fleet.kindOf = k.find
+	s.configure(3, queue("peal", 1))
+	s.startHosts(3)
+	long, near := idOf(1), idOf(2)
+	need := amount{CPU: 128000, Memory: 150000}
+	k.set(long, taskKind{need: need})
+	k.set(near, taskKind{need: amount{CPU: 15000, Memory: 44000}, length: 2 * time.Second, how: "done"})
+	s.submit(s.hosts[0], "peal", long, job(step(1, need, 60000, map[string]any{"perpetual": true, "required_label": "r1-0"})))
+	s.await(8*time.Second, "the rack is full", func() bool { return s.fleet.running(long) == 1 })
+	s.submit(s.hosts[1], "peal", near, job(step(1, amount{CPU: 15000, Memory: 44000}, 2000, map[string]any{"near": "r1-0"})))
+	if s.within(60*time.Second, func() bool { return s.fleet.running(near) > 0 || s.ended(near) }) {
+		return ""
+	}
+	return "LOST: 60 s after its acknowledgement the job " + near + " has not begun, with three of four minions empty"
+}
+
+var _ = syscall.SIGTERM
