--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -17,6 +16,8 @@
 	"removed-queue":  removedQueue,
 	"waiting-counts": waitingCounts,
 	"no-gpu-rack":    noGPURack,
+	"two-crashes":    twoCrashes,
+	"refused-starts": refusedStarts,
 }
 
 // full is what a minion of the users' small deployments has.
@@ -326,4 +327,91 @@
 	return "LOST: 60 s after its acknowledgement the job " + near + " has not begun, with three of four minions empty"
 }
 
-var _ = syscall.SIGTERM
+// twoCrashes lets the minion crash on which a job runs, and later the minion on which it
+// runs next. No run of it ends with "failed".
+func twoCrashes(s *site) string {
+	var minions []*minion
+	for i := range 6 {
+		minions = append(minions, &minion{
+			id: fmt.Sprintf("i-%02d", i), zone: fmt.Sprintf("zone-%c", 'a'+i%4), capacity: full,
+			labels: []string{"a", fmt.Sprintf("r1-%d", i/3)},
+		})
+	}
+	k := newKinds()
+	s.open(minions...)
+	s.fleet.kindOf = k.find
+	s.configure(3, queue("peal", 1))
+	s.startHosts(3)
+	id := idOf(1)
+	need := amount{CPU: 52000, Memory: 150000, GPU: 8}
+	k.set(id, taskKind{need: need, length: 10 * time.Second, how: "done"})
+	s.submit(s.hosts[0], "peal", id, job(step(1, need, 10000, nil)))
+	for range 2 {
+		s.await(15*time.Second, "the job runs", func() bool { return s.fleet.running(id) == 1 })
+		time.Sleep(seconds("CRASH_S", 1))
+		if s.trouble {
+			m := s.fleet.crash(id)
+			s.log.add("minion crashes", "minion", m.id)
+			time.Sleep(seconds("DOWN_S", 3))
+			s.fleet.restart(m)
+			s.log.add("minion starts again under its id", "minion", m.id)
+		}
+	}
+	state := ""
+	if !s.within(35*time.Second, func() bool {
+		state = s.state(s.hosts[1], "peal", id)
+		return state == "completed" || state == "failed" || state == "cancelled"
+	}) {
+		return "LOST: the job " + id + " is still " + state
+	}
+	if state != "completed" {
+		return "LOST: the job " + id + " is shown as " + state + ", though no run of it has ended \"failed\", and max_attempts is 3"
+	}
+	return ""
+}
+
+// refusedStarts lets the one minion that may run a job refuse starts for a while, and
+// waits for the job's start after that.
+func refusedStarts(s *site) string {
+	var minions []*minion
+	for i := range 7 {
+		kind := "a"
+		if i == 0 {
+			kind = "b"
+		}
+		minions = append(minions, &minion{
+			id: fmt.Sprintf("i-%02d", i), zone: fmt.Sprintf("zone-%c", 'a'+i%4), capacity: full,
+			labels: []string{kind, fmt.Sprintf("r1-%d", i/4)},
+		})
+	}
+	k := newKinds()
+	s.open(minions...)
+	s.fleet.kindOf = k.find
+	s.configure(3, queue("peal", 1))
+	s.startHosts(3)
+	shed := func(on bool) {
+		s.fleet.mu.Lock()
+		minions[0].shedding = on
+		s.fleet.mu.Unlock()
+		s.log.add("minion refuses all starts", "minion", minions[0].id, "refuses", on)
+	}
+	if s.trouble {
+		shed(true)
+	}
+	id := idOf(1)
+	need := amount{CPU: 15000, Memory: 44000, GPU: 1}
+	k.set(id, taskKind{need: need, length: 2 * time.Second, how: "done"})
+	s.submit(s.hosts[0], "peal", id, job(step(1, need, 2000, map[string]any{"required_label": "b"})))
+	time.Sleep(seconds("SHED_S", 6.5))
+	if s.trouble {
+		shed(false)
+	}
+	from := time.Now()
+	if s.within(60*time.Second, func() bool { return s.fleet.running(id) > 0 || s.ended(id) }) {
+		s.log.add("begun", "after", time.Since(from))
+		if time.Since(from) < 17*time.Second {
+			return ""
+		}
+	}
+	return "LOST: " + time.Since(from).Round(time.Millisecond).String() + " after its minion accepts starts again the job " + id + " has not begun or has only now"
+}
--- a/review/rig2/minion.go
+++ b/review/rig2/minion.go
@@ -90,6 +90,8 @@
 
 	// cut is set while no call reaches the minion and no answer leaves it.
 	cut bool
+	// down is set while the minion's process does not run.
+	down bool
 	// shedding is set while the minion is unhealthy and answers each start with 503.
 	shedding bool
 	// holdsSeen is when the newest call for its lists arrived that renewed its lease.
@@ -229,6 +231,9 @@
 	if err != nil {
 		return
 	}
+	if m.isDown() {
+		panic(http.ErrAbortHandler)
+	}
 	m.awaitCut(r)
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != m.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -239,11 +244,52 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	born := m.bornAt()
 	status, answer := m.carryOut(r, call)
 	m.awaitCut(r)
+	if m.isDown() || !born.Equal(m.bornAt()) {
+		panic(http.ErrAbortHandler)
+	}
 	writeJSON(w, status, answer)
 }
 
+func (m *minion) isDown() bool {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	return m.down
+}
+
+func (m *minion) bornAt() time.Time {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	return m.born
+}
+
+// crash ends the process of the minion that runs a task of the job, and all that runs there.
+func (f *fleet) crash(job string) *minion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.minions {
+		for task := range m.runs {
+			if strings.HasPrefix(task, job+".") {
+				m.down = true
+				m.runs, m.ends, m.ended = map[string]*run{}, nil, map[string]int{}
+				m.nextEnd, m.fence, m.deadline = 1, 0, time.Time{}
+				f.notify()
+				return m
+			}
+		}
+	}
+	panic(errNotRun{"no minion runs " + job})
+}
+
+// restart starts the process of a minion again. It knows nothing of before.
+func (f *fleet) restart(m *minion) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.down, m.born = false, time.Now()
+}
+
 // awaitCut drops what a partition drops: the connection breaks once it is over, or its
 // caller has left.
 func (m *minion) awaitCut(r *http.Request) {
@@ -417,9 +463,14 @@
 // register writes the minion's entry as often as it has to, until stop is closed.
 func (m *minion) register(s *store, stop <-chan struct{}) {
 	for seq := 1; ; seq++ {
+		if m.isDown() {
+			// A minion that has crashed writes nothing.
+			time.Sleep(machineTick)
+			continue
+		}
 		s.put("servers", m.id, map[string]any{
 			"service": "bells", "addr": m.addr, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready",
-			"cold_left_ms": 0, "seq": seq, "born": m.born.UnixMilli(), "capacity": m.capacity, "labels": m.labels,
+			"cold_left_ms": 0, "seq": seq, "born": m.bornAt().UnixMilli(), "capacity": m.capacity, "labels": m.labels,
 		})
 		select {
 		case <-stop:
