--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -15,9 +15,10 @@
 	"lasting-tasks":  lastingTasks,
 	"removed-queue":  removedQueue,
 	"waiting-counts": waitingCounts,
-	"no-gpu-rack":    noGPURack,
+	"near-cpu":       nearCPU,
 	"two-crashes":    twoCrashes,
 	"refused-starts": refusedStarts,
+	"long-tasks":     longTasks,
 }
 
 // full is what a minion of the users' small deployments has.
@@ -295,13 +296,11 @@
 	return broken
 }
 
-// noGPURack lets a job with its data in a full rack wait while all other racks are empty,
-// on minions without GPUs.
-func noGPURack(s *site) string {
-	plain := amount{CPU: 128000, Memory: 524288}
-	if !s.trouble {
-		plain.GPU = 8
-	}
+// nearCPU lets a job with its data in a full rack wait while all other racks are empty, on
+// minions without GPUs. With GPUS=8 they have eight, which no task uses.
+func nearCPU(s *site) string {
+	gpus, _ := strconv.Atoi(os.Getenv("GPUS"))
+	plain := amount{CPU: 16000, Memory: 32768, GPU: gpus}
 	var minions []*minion
 	for i := range 4 {
 		minions = append(minions, &minion{
@@ -314,17 +313,19 @@
 	s.fleet.kindOf = k.find
 	s.configure(3, queue("peal", 1))
 	s.startHosts(3)
-	long, near := idOf(1), idOf(2)
-	need := amount{CPU: 128000, Memory: 150000}
-	k.set(long, taskKind{need: need})
-	k.set(near, taskKind{need: amount{CPU: 15000, Memory: 44000}, length: 2 * time.Second, how: "done"})
-	s.submit(s.hosts[0], "peal", long, job(step(1, need, 60000, map[string]any{"perpetual": true, "required_label": "r1-0"})))
-	s.await(8*time.Second, "the rack is full", func() bool { return s.fleet.running(long) == 1 })
-	s.submit(s.hosts[1], "peal", near, job(step(1, amount{CPU: 15000, Memory: 44000}, 2000, map[string]any{"near": "r1-0"})))
-	if s.within(60*time.Second, func() bool { return s.fleet.running(near) > 0 || s.ended(near) }) {
+	large, near := idOf(1), idOf(2)
+	k.set(large, taskKind{need: amount{CPU: 16000, Memory: 8192}})
+	k.set(near, taskKind{need: amount{CPU: 500, Memory: 256}, length: 900 * time.Millisecond, how: "done"})
+	if s.trouble {
+		s.submit(s.hosts[0], "peal", large, job(step(1, amount{CPU: 16000, Memory: 8192}, 60000, map[string]any{"perpetual": true, "required_label": "r1-3"})))
+		s.await(8*time.Second, "the rack is full", func() bool { return s.fleet.running(large) == 1 })
+	}
+	s.submit(s.hosts[1], "peal", near, job(step(4, amount{CPU: 500, Memory: 256}, 900, map[string]any{"near": "r1-3"})))
+	if s.within(45*time.Second, func() bool { return s.fleet.running(near) > 0 || s.ended(near) }) {
 		return ""
 	}
-	return "LOST: 60 s after its acknowledgement the job " + near + " has not begun, with three of four minions empty"
+	s.state(s.hosts[2], "peal", near)
+	return "LOST: 45 s after its acknowledgement the job " + near + " has not begun, with three of four minions empty"
 }
 
 // twoCrashes lets the minion crash on which a job runs, and later the minion on which it
@@ -415,3 +416,56 @@
 	}
 	return "LOST: " + time.Since(from).Round(time.Millisecond).String() + " after its minion accepts starts again the job " + id + " has not begun or has only now"
 }
+
+// longTasks lets two jobs take ten times their estimate, beside a minion that is full.
+func longTasks(s *site) string {
+	var minions []*minion
+	for i := range 3 {
+		minions = append(minions, &minion{
+			id: fmt.Sprintf("i-%02d", i), zone: fmt.Sprintf("zone-%c", 'a'+i), capacity: full,
+			labels: []string{"a", fmt.Sprintf("r1-%d", i)},
+		})
+	}
+	k := newKinds()
+	s.open(minions...)
+	s.fleet.kindOf = k.find
+	s.configure(3, queue("peal", 1))
+	s.startHosts(3)
+	large := idOf(1)
+	k.set(large, taskKind{need: full})
+	s.submit(s.hosts[0], "peal", large, job(step(1, full, 60000, map[string]any{"perpetual": true})))
+	s.await(8*time.Second, "the large task is at work", func() bool { return s.fleet.running(large) == 1 })
+	need := amount{CPU: 52000, Memory: 150000, GPU: 2}
+	length := 30 * time.Second
+	if s.trouble {
+		length *= 10
+	}
+	idle := map[string]time.Time{}
+	for i := range 2 {
+		k.set(idOf(10+i), taskKind{need: need, length: length, how: "done"})
+		s.submit(s.hosts[i], "peal", idOf(10+i), job(step(1, need, 30000, nil)))
+	}
+	for end := time.Now().Add(90 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for i := range 2 {
+			id := idOf(10 + i)
+			if s.fleet.running(id) > 0 || s.endedDone(id) {
+				delete(idle, id)
+				continue
+			}
+			if idle[id].IsZero() {
+				idle[id] = time.Now()
+			}
+			if time.Since(idle[id]) > 3500*time.Millisecond {
+				return "LOST: the job " + id + " has had nothing running for 3.5 s, with two of three minions empty"
+			}
+		}
+	}
+	return ""
+}
+
+// endedDone reports whether the ledger of ends has one of the job that is done.
+func (s *site) endedDone(job string) bool {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return s.fleet.done[job]
+}
--- a/review/rig2/minion.go
+++ b/review/rig2/minion.go
@@ -68,6 +68,8 @@
 	// kindOf tells what a task is.
 	kindOf func(task string, attempt int) (taskKind, bool)
 	change chan struct{}
+	// done holds the jobs of which a run has ended as done.
+	done map[string]bool
 }
 
 // minion is a stand-in of a minion that follows the platform's protocol.
@@ -99,7 +101,7 @@
 }
 
 func newFleet(log *ledger) *fleet {
-	return &fleet{log: log, change: make(chan struct{})}
+	return &fleet{log: log, change: make(chan struct{}), done: map[string]bool{}}
 }
 
 func (f *fleet) add(m *minion) {
@@ -193,6 +195,10 @@
 	m.ended[r.task] = max(m.ended[r.task], r.attempt)
 	m.ends = append(m.ends, runEnd{m.nextEnd, r.task, r.attempt, how})
 	m.nextEnd++
+	if how == "done" {
+		id, _, _ := strings.Cut(r.task, ".")
+		m.fleet.done[id] = true
+	}
 	m.fleet.log.add("end", "task", r.task, "attempt", r.attempt, "minion", m.id, "how", how)
 	m.fleet.notify()
 }
