--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -69,9 +70,15 @@
 	return listener.Addr().String()
 }
 
-// freeAddress returns a loopback address that is free now.
-func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// loopback returns a loopback address of this case's own, so that no other process takes a
+// port of a host before it listens there.
+func loopback() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 2+rand.IntN(250))
+}
+
+// freeAddress returns an address on the loopback address whose port is free now.
+func freeAddress(ip string) string {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		panic(errNotRun{err.Error()})
 	}
@@ -98,9 +105,10 @@
 // startHosts starts n entry hosts and waits until all are ready.
 func (s *site) startHosts(n int) {
 	for i := range n {
+		ip := loopback()
 		h := &host{
 			name: fmt.Sprintf("front-%d", i+1), zone: fmt.Sprintf("zone-%c", 'a'+i%4),
-			front: freeAddress(), ready: freeAddress(), peers: freeAddress(),
+			front: freeAddress(ip), ready: freeAddress(ip), peers: freeAddress(ip),
 		}
 		h.config = filepath.Join(s.temp, h.name+".yaml")
 		h.log = filepath.Join(s.temp, h.name+".log")
@@ -164,7 +172,7 @@
 }
 
 func (s *site) awaitReady(h *host) {
-	s.await(10*time.Second, h.name+" is ready", func() bool {
+	s.await(20*time.Second, h.name+" is ready", func() bool {
 		status, _, _ := s.send("GET", "http://"+h.ready+"/rattanshore/ready", "", nil)
 		return status == http.StatusOK
 	})
