Heads of requests share one budget of memory on each listener

What callers saw: a process was killed for its memory, with every request on it, while clients sent heads of up to 1 MB, or very many short ones.

Cause: a head was read up to the library's default of 1 MB, and short lines with names of their own take some 20 times their bytes once decoded. Nothing bounded the sum over all connections, nor their number. The limits of the operators' configuration had no reader.

Evidence: crowds of callers against the real program on loopback, with both ways to run and each listener.

Why this works: a guard wraps each listener. It takes a connection's own memory when it is accepted, and 24 bytes for each byte of a head before the server decodes it, from one budget that all connections share, and gives them back after the answer. When the budget or the connections are used up, the connection that holds most is closed for the one that asks, of equals the longest inactive one. A request in progress is not closed for 30 s. Heads above the configuration's limit get 431; its timeouts for heads and idle connections hold too.

Empty lines, trailers and chunk extensions without end and unread answers held before and do now.

--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -76,6 +76,11 @@
 	return t.Limit
 }
 
+// RequestLimits returns what the stored configuration allows for one call.
+func (g *Gate) RequestLimits() rules.Limits {
+	return g.config.Limits
+}
+
 // Admit returns the queue and the team of a call, and the rest of the path after
 // the queue's prefix. The team is empty if a public queue is called without a
 // team's key.
--- a/internal/edge/entry/host.go
+++ b/internal/edge/entry/host.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rattanshore/rattanshore/internal/core/route"
+	"github.com/rattanshore/rattanshore/internal/edge/guard"
 	"github.com/rattanshore/rattanshore/internal/edge/hosts"
 	"github.com/rattanshore/rattanshore/internal/edge/httpc"
 	"github.com/rattanshore/rattanshore/internal/edge/peers"
@@ -37,6 +38,9 @@
 // headerTimeout limits the time to read the header of a call.
 const headerTimeout = 5 * time.Second
 
+// idleTimeout limits how long a connection is kept between two calls.
+const idleTimeout = 60 * time.Second
+
 // bodyTimeout limits the time to read the body after that.
 const bodyTimeout = 10 * time.Second
 
@@ -61,6 +65,7 @@
 	router  *router
 	view    *view
 
+	intake           *intake
 	callerListener   listener
 	operatorListener listener
 	peerListener     listener
@@ -88,6 +93,7 @@
 	net.Listener
 	server *http.Server
 	conns  connections
+	guard  *guard.Guard
 }
 
 // New returns a host that keeps the shared state in the platform's store. It
@@ -121,6 +127,7 @@
 	}
 	h.peers = hub
 	h.addGauges()
+	h.intake = newIntake(h)
 	return h, h.listen()
 }
 
@@ -147,17 +154,18 @@
 	for _, l := range []struct {
 		to      *listener
 		address netip.AddrPort
+		guard   *guard.Guard
 	}{
-		{&h.callerListener, h.settings.Listen.Callers},
-		{&h.operatorListener, h.settings.Listen.Operators},
-		{&h.peerListener, h.settings.Listen.Peers},
+		{&h.callerListener, h.settings.Listen.Callers, h.intake.callers},
+		{&h.operatorListener, h.settings.Listen.Operators, h.intake.operators},
+		{&h.peerListener, h.settings.Listen.Peers, h.intake.peers},
 	} {
 		socket, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(l.address))
 		if err != nil {
 			h.closeServers()
 			return errors.Wrapf(err, "listen on %s", l.address)
 		}
-		l.to.Listener = socket
+		l.to.Listener, l.to.guard = l.guard.Listen(socket), l.guard
 	}
 	return nil
 }
@@ -227,7 +235,11 @@
 }
 
 func (h *Host) serve(l *listener, handler http.Handler) {
-	l.server = &http.Server{Handler: httpc.LimitBodyTime(handler, bodyTimeout), ReadHeaderTimeout: headerTimeout, ConnState: l.conns.track}
+	l.server = &http.Server{
+		Handler: httpc.LimitBodyTime(handler, bodyTimeout), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ConnState: l.conns.track,
+	}
+	l.guard.Protect(l.server)
 	h.spawn(func() {
 		err := l.server.Serve(l.Listener)
 		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
--- a/internal/edge/fleet/frontend.go
+++ b/internal/edge/fleet/frontend.go
@@ -11,6 +11,7 @@
 	"github.com/rattanshore/rattanshore/internal/core/admit"
 	"github.com/rattanshore/rattanshore/internal/core/gate"
 	"github.com/rattanshore/rattanshore/internal/core/jobs"
+	"github.com/rattanshore/rattanshore/internal/edge/guard"
 	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
 	"github.com/rattanshore/rattanshore/internal/ops/metrc"
@@ -66,6 +67,14 @@
 	}
 }
 
+// requestLimits returns what the configuration allows for a request before its body.
+func (f *frontend) requestLimits() guard.RequestLimits {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	limits := f.gate.RequestLimits()
+	return guard.RequestLimits{HeadBytes: limits.HeaderBytes, HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
+}
+
 // Ready implements Frontend.
 func (f *frontend) Ready() bool {
 	f.mu.Lock()
--- a/internal/edge/fleet/host.go
+++ b/internal/edge/fleet/host.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -17,7 +16,6 @@
 
 	"github.com/rattanshore/rattanshore/internal/core/gate"
 	"github.com/rattanshore/rattanshore/internal/core/rules"
-	"github.com/rattanshore/rattanshore/internal/edge/httpc"
 	"github.com/rattanshore/rattanshore/internal/edge/relay"
 	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
@@ -62,6 +60,7 @@
 	// witnesses of one, on which no store's answer delays a call.
 	witness      *witness
 	witnessLinks *relay.Links
+	intake       *intake
 	meter        *metrc.Fleet
 	// sequence makes each value of the leader row unique.
 	sequence atomic.Int64
@@ -119,6 +118,7 @@
 		h.frontend.admission = newAdmission(s, settings.Host.ID, clock, log, meter)
 	}
 	h.registry = &registry{host: h, links: s.Links}
+	h.intake = newIntake(h)
 	return h
 }
 
@@ -130,20 +130,22 @@
 // Run serves callers, the load balancer's readiness checks and metrics until ctx
 // ends, and then stops gracefully.
 func (h *Host) Run(ctx context.Context, callers, ready http.Handler) error {
-	servers := []*http.Server{h.server(callers), h.server(ready), h.server(http.HandlerFunc(h.servePeers))}
-	addresses := []string{
-		h.settings.Listen.Callers.String(), h.settings.Listen.Ready.String(), h.settings.Listen.Peers.String(),
+	listen := h.settings.Listen
+	servers := []server{
+		newServer(listen.Callers.String(), callers, h.intake.callers),
+		newServer(listen.Ready.String(), ready, h.intake.ready),
+		newServer(listen.Peers.String(), http.HandlerFunc(h.servePeers), h.intake.peers),
 	}
 	failed := make(chan error, len(servers))
-	for i, s := range servers {
-		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addresses[i])
+	for _, s := range servers {
+		listener, err := s.listen(ctx)
 		if err != nil {
 			closeServers(servers)
-			return errors.Wrapf(err, "listen on %s", addresses[i])
+			return err
 		}
 		go func() { failed <- s.Serve(listener) }()
 	}
-	logev.HostStarted.Log(h.log).Str("callers", addresses[0]).Str("incarnation", h.incarnation).Send()
+	logev.HostStarted.Log(h.log).Stringer("callers", listen.Callers).Str("incarnation", h.incarnation).Send()
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	electionCtx, stopElection := context.WithCancel(workCtx)
@@ -166,7 +168,7 @@
 }
 
 // closeServers closes the servers with their listeners at once.
-func closeServers(servers []*http.Server) {
+func closeServers(servers []server) {
 	for _, s := range servers {
 		_ = s.Close()
 	}
@@ -184,14 +186,10 @@
 	}
 }
 
-func (h *Host) server(handler http.Handler) *http.Server {
-	return &http.Server{Handler: httpc.LimitBodyTime(handler, bodyTimeout), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-}
-
 // stop reports the host as not ready, gives the leadership up, and returns when
 // the calls in progress have been answered or the stop grace is over. The
 // listeners close only after DrainNotice, so that the load balancer notices first.
-func (h *Host) stop(servers []*http.Server, stopElection func(), electionDone <-chan struct{}) {
+func (h *Host) stop(servers []server, stopElection func(), electionDone <-chan struct{}) {
 	logev.HostStopping.Log(h.log).Send()
 	h.frontend.stop()
 	stopElection()
--- /dev/null
+++ b/internal/edge/fleet/intake.go
@@ -0,0 +1,57 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattanshore/rattanshore/internal/edge/guard"
+	"github.com/rattanshore/rattanshore/internal/edge/httpc"
+)
+
+// intake bounds what the callers of each listener can make the host hold.
+type intake struct {
+	callers, ready, peers *guard.Guard
+}
+
+func newIntake(h *Host) *intake {
+	in := &intake{}
+	limits := h.settings.Limits
+	in.callers = guard.NewFor(guard.Listener{
+		Name: "callers", Meter: h.meter.Callers, MemoryMB: limits.MemoryMB, Request: h.frontend.requestLimits,
+		Connections: func() int { return limits.Connections },
+	}, limits, h.log)
+	in.ready = guard.NewFor(guard.Listener{
+		Name: "ready", Meter: h.meter.Ready, MemoryMB: limits.OtherMemoryMB,
+		Connections: func() int { return guard.SmallListener },
+	}, limits, h.log)
+	in.peers = guard.NewFor(guard.Listener{
+		Name: "peers", Meter: h.meter.Peers, MemoryMB: limits.OtherMemoryMB,
+		Connections: func() int { return limits.PeerConnections },
+	}, limits, h.log)
+	return in
+}
+
+// server is an HTTP server with its address and the guard of its connections.
+type server struct {
+	*http.Server
+	address string
+	guard   *guard.Guard
+}
+
+func newServer(address string, handler http.Handler, g *guard.Guard) server {
+	s := &http.Server{Handler: httpc.LimitBodyTime(handler, bodyTimeout), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	g.Protect(s)
+	return server{Server: s, address: address, guard: g}
+}
+
+// listen opens the server's socket.
+func (s server) listen(ctx context.Context) (net.Listener, error) {
+	socket, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", s.address)
+	}
+	return s.guard.Listen(socket), nil
+}
--- a/internal/ops/logev/logev.go
+++ b/internal/ops/logev/logev.go
@@ -32,6 +32,7 @@
 	StoreDirect        Event = 123
 	RelayRefused       Event = 124
 	RegistryFailed     Event = 125
+	CallersLimited     Event = 126
 	ShardTaken         Event = 130
 	ShardGivenUp       Event = 131
 	ShardLost          Event = 132
@@ -116,6 +117,7 @@
 	{StoreDirect, "store-direct", zerolog.InfoLevel, "The platform's store answers this host directly again."},
 	{RelayRefused, "relay-refused", zerolog.WarnLevel, "A peer has asked for a call to the store that cannot be read or is not relayed."},
 	{RegistryFailed, "registry-failed", zerolog.InfoLevel, "This host could not read its peers' addresses or write its own; it tries again."},
+	{CallersLimited, "callers-limited", zerolog.WarnLevel, "Callers of a listener hold all the memory or connections that they may, or send what is too large; the line counts the connections closed and the requests refused since the line before, and gives the last reason."},
 	{ConfigStale, "standing-lost", zerolog.WarnLevel, "The configuration known here is not certain to be current; this host makes no decisions."},
 	{ConfigCurrent, "standing-back", zerolog.InfoLevel, "The configuration known here is certain to be current again."},
 	{PeerConnected, "peer-connected", zerolog.DebugLevel, "A connection to a peer is up."},
--- a/internal/ops/metrc/metrc.go
+++ b/internal/ops/metrc/metrc.go
@@ -103,7 +103,9 @@
 	Teams Teams
 	// Targets holds the fragmentation of targets for which tasks wait.
 	Targets Targets
-	set     *metrics.Set
+	// Callers, Ready and Peers hold the metrics of the listeners.
+	Callers, Ready, Peers *Listener
+	set                   *metrics.Set
 }
 
 // NewFleet returns metrics in a set of their own, so that several hosts can run
@@ -134,6 +136,9 @@
 		Withheld:      counter("workers_withheld_total"),
 		StartDelay:    histogram("job_start_delay_seconds"),
 		LogsDropped:   counter("log_lines_dropped_total"),
+		Callers:       newListener(s, "callers"),
+		Ready:         newListener(s, "ready"),
+		Peers:         newListener(s, "peers"),
 		set:           s,
 	}
 }
@@ -158,7 +163,9 @@
 	Store Store
 	Route Route
 	Sched Sched
-	set   *metrics.Set
+	// Callers, Operators and Peers hold the metrics of the listeners.
+	Callers, Operators, Peers *Listener
+	set                       *metrics.Set
 }
 
 // NewEntry returns metrics in a set of their own, so that several hosts can run in
@@ -171,8 +178,11 @@
 		return counter(fmt.Sprintf("requests_total{outcome=%q}", name))
 	}
 	return &Entry{
-		set:   s,
-		Store: newStore(counter, histogram),
+		set:       s,
+		Callers:   newListener(s, "callers"),
+		Operators: newListener(s, "operators"),
+		Peers:     newListener(s, "peers"),
+		Store:     newStore(counter, histogram),
 		Route: Route{
 			Answered:   outcome("answered"),
 			NotRun:     outcome("not-run"),
--- a/internal/ops/setng/check.go
+++ b/internal/ops/setng/check.go
@@ -62,6 +62,10 @@
 		if _, err := netip.ParseAddrPort(value.Value); err != nil {
 			return fmt.Sprintf("%q is not an address; use an IP address and a port, like 127.0.0.1:7400", value.Value)
 		}
+	case "machine":
+		if value.Tag != "!!int" || strings.HasPrefix(value.Value, "-") {
+			return fmt.Sprintf("%q is not a number of 0 or more", value.Value)
+		}
 	case "limits":
 		if value.Tag != "!!int" || strings.HasPrefix(value.Value, "-") || value.Value == "0" {
 			return fmt.Sprintf("%q is not a positive integer", value.Value)
@@ -108,12 +112,14 @@
 // rules returns the conditions in the order in which they are checked.
 func (s Settings) rules() []rule {
 	t := s.Timing
+	limitKey, limitProblem := s.Limits.problem()
 	_, levelErr := zerolog.ParseLevel(s.Log.Level)
 	return []rule{
 		{"host", "id", s.Host.ID != "", "must be a name that no other host has"},
 		{"host", "failure-domain", s.Host.Domain != "", "must name the failure domain that this host runs in"},
 		{"keys", "operators", s.Keys.Operators+s.Keys.OperatorsEnv != "", "must be set, or operators-env must name an environment variable"},
 		{"keys", "peers", s.Keys.Peers+s.Keys.PeersEnv != "", "must be set, or peers-env must name an environment variable"},
+		{"limits", limitKey, limitKey == "", limitProblem},
 		{"log", "level", levelErr == nil, "must be one of debug, info, warn, error"},
 		{"timing", "session-renew", t.SessionRenew*2 <= t.Session, "must be at most half of session, " + t.Session.String()},
 		{"timing", "worker-sync", t.WorkerSync*5 <= t.TaskLease, "must be at most a fifth of task-lease, " + t.TaskLease.String()},
--- a/internal/ops/setng/fleet.go
+++ b/internal/ops/setng/fleet.go
@@ -25,6 +25,10 @@
 	Log        Log        `yaml:"log"`
 	// Cores is the share of a processor core that the host may use; 1 is one full core.
 	Cores float64 `yaml:"cores"`
+	// Machine is what the process may use beside the processor.
+	Machine `yaml:",inline"`
+	// Limits bounds what callers can make the host hold.
+	Limits Intake `yaml:"limits"`
 }
 
 // FleetListen holds the addresses of the listeners.
@@ -118,6 +122,7 @@
 		Scheduling: Scheduling{PriorityRatio: 2, LateShare: 0.5, LateLimit: 3},
 		Log:        Log{Level: "info"},
 		Cores:      1,
+		Limits:     DefaultIntake(),
 	}
 }
 
@@ -216,9 +221,26 @@
 	if _, err := zerolog.ParseLevel(f.Log.Level); err != nil {
 		return invalid(name, 0, "log.level", err.Error())
 	}
+	if err := f.checkIntake(name); err != nil {
+		return err
+	}
 	return f.Scheduling.check(name)
 }
 
+// checkIntake checks the limits of callers, and of the machine that they follow from.
+func (f Fleet) checkIntake(name string) error {
+	switch key, problem := f.Limits.problem(); {
+	case f.MemoryMB < 0:
+		return invalid(name, 0, "memory-mb", "must not be negative")
+	case f.Descriptors < 0:
+		return invalid(name, 0, "descriptors", "must not be negative")
+	case key != "":
+		return invalid(name, 0, "limits."+key, problem)
+	default:
+		return nil
+	}
+}
+
 func (s Scheduling) check(name string) error {
 	switch {
 	case !(s.PriorityRatio >= 1):
--- a/internal/ops/setng/setng.go
+++ b/internal/ops/setng/setng.go
@@ -24,6 +24,7 @@
 	Platform Platform `yaml:"platform"`
 	Keys     Keys     `yaml:"keys"`
 	Limits   Limits   `yaml:"limits"`
+	Machine  Machine  `yaml:"machine"`
 	Timing   Timing   `yaml:"timing"`
 	Log      Log      `yaml:"log"`
 }
@@ -58,9 +59,9 @@
 
 // Limits bounds the work that a host accepts.
 type Limits struct {
-	BodyBytes int64 `yaml:"body-bytes"`
-	Queue     int   `yaml:"queue"`
-	Attempts  int   `yaml:"attempts"`
+	Queue    int `yaml:"queue"`
+	Attempts int `yaml:"attempts"`
+	Intake   `yaml:",inline"`
 }
 
 // Timing holds durations. Deadlines are derived from them when an event
@@ -106,7 +107,7 @@
 		},
 		Platform: Platform{Table: netip.AddrPortFrom(loopback, 7300)},
 		Keys:     Keys{OperatorsEnv: "RATTANSHORE_OPERATOR_KEY", PeersEnv: "RATTANSHORE_PEER_KEY"},
-		Limits:   Limits{BodyBytes: 1 << 20, Queue: 512, Attempts: 3},
+		Limits:   Limits{Queue: 512, Attempts: 3, Intake: DefaultIntake()},
 		Timing:   defaultTiming(),
 		Log:      Log{Level: "info"},
 	}
--- /dev/null
+++ b/internal/proof/crowd/crowd_test.go
@@ -0,0 +1,193 @@
+// Package crowd_test runs hosts as processes on loopback addresses and sets crowds of
+// callers on them that do not behave. Whatever a crowd does, the process lives, its memory
+// and its descriptors stay within those of a machine, and an ordinary request is answered
+// while the crowd holds its connections.
+package crowd_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	megabyte = 1 << 20
+	// leaderMemoryMB is what the leader of 3,000 workers holds. What is left of a machine
+	// is what callers may add.
+	leaderMemoryMB = 184
+	addedBytes     = (machineMemoryMB - leaderMemoryMB) * megabyte
+	// fileDescriptors are reserved for files on the users' machines.
+	fileDescriptors = 200
+	// sendTimeout ends a caller whose host does not read, settleTime lets the host handle
+	// what has arrived.
+	sendTimeout = 10 * time.Second
+	settleTime  = 1500 * time.Millisecond
+)
+
+// crowd is a number of callers that each send the same bytes and then hold their connection
+// open without reading from it.
+type crowd struct {
+	name     string
+	listener string
+	callers  int
+	payload  []byte
+	// dialing is the number of callers that connect at the same time.
+	dialing int
+}
+
+const post = "POST /quotes/%016x HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Token key\r\n"
+
+// head returns the head of a request that ends short of its empty line, with lines up to a
+// size. line returns the n-th line.
+func head(size int, line func(n int) string) []byte {
+	var out bytes.Buffer
+	out.WriteString("GET / HTTP/1.1\r\nHost: desk.example\r\n")
+	for n := 0; out.Len() < size; n++ {
+		out.WriteString(line(n))
+	}
+	return out.Bytes()[:size]
+}
+
+func distinctLine(n int) string { return fmt.Sprintf("%x:\n", n) }
+func sameLine(int) string       { return "a:\n" }
+
+// heads are the crowds that send only heads, to any listener.
+func heads(listener string) []crowd {
+	return []crowd{
+		{name: "lines of distinct names", listener: listener, callers: 40, payload: head(megabyte, distinctLine)},
+		{name: "lines of one name", listener: listener, callers: 100, payload: head(megabyte, sameLine)},
+		{name: "short heads of odd lines", listener: listener, callers: 1000, payload: head(15<<10, distinctLine)},
+	}
+}
+
+// endless are crowds that send parts of a request without end.
+func endless(listener string) []crowd {
+	const size = 2 * megabyte
+	first := func(text, repeated string) []byte { return []byte(text + strings.Repeat(repeated, size/len(repeated))) }
+	chunked := fmt.Sprintf(post, 1) + "Transfer-Encoding: chunked\r\n\r\n"
+	return []crowd{
+		{name: "a header line without end", listener: listener, callers: 200, payload: first("GET / HTTP/1.1\r\nHost: a\r\nA: ", "x")},
+		{name: "empty lines without end", listener: listener, callers: 200, payload: first("", "\r\n")},
+		{name: "a chunk extension without end", listener: listener, callers: 100, payload: first(chunked+"1;", "x")},
+		{name: "trailers without end", listener: listener, callers: 100, payload: first(chunked+"0\r\n", "a:\r\n")},
+		{name: "requests whose answers nobody reads", listener: listener, callers: 100, payload: first("", "GET /a HTTP/1.1\r\nHost: a\r\n\r\n")},
+	}
+}
+
+// fleetCrowds are the crowds against a host that serves with --fleet.
+func fleetCrowds() []crowd {
+	return append(heads("callers"), endless("callers")...)
+}
+
+// entryCrowds are the crowds against a host that serves the product's own interface.
+func entryCrowds() []crowd {
+	return append(heads("callers"), endless("callers")...)
+}
+
+// TestCrowdFleet sets each crowd on a new host of a platform.
+func TestCrowdFleet(t *testing.T) {
+	for _, c := range fleetCrowds() {
+		t.Run(c.name, func(t *testing.T) { c.press(t, startHost(t, "fleet", machineDescriptors)) })
+	}
+}
+
+// TestCrowdEntry sets each crowd on a new host of the product's own interface.
+func TestCrowdEntry(t *testing.T) {
+	for _, c := range entryCrowds() {
+		t.Run(c.name, func(t *testing.T) { c.press(t, startHost(t, "serve", machineDescriptors)) })
+	}
+}
+
+// TestCrowdOtherListeners sets heads on the listeners that are not for callers.
+func TestCrowdOtherListeners(t *testing.T) {
+	for _, l := range []struct{ way, listener string }{
+		{"fleet", "ready"}, {"fleet", "peers"}, {"serve", "operators"}, {"serve", "peers"},
+	} {
+		for _, c := range heads(l.listener) {
+			t.Run(l.way+"/"+l.listener+"/"+c.name, func(t *testing.T) { c.press(t, startHost(t, l.way, machineDescriptors)) })
+		}
+	}
+}
+
+// TestCrowdOneAfterTheOther guards against memory that stays with the process after a
+// crowd, so that the next one of another form comes on top.
+func TestCrowdOneAfterTheOther(t *testing.T) {
+	for way, crowds := range map[string][]crowd{"fleet": fleetCrowds(), "serve": entryCrowds()} {
+		t.Run(way, func(t *testing.T) {
+			p := startHost(t, way, machineDescriptors)
+			for _, c := range crowds {
+				c.press(t, p)
+			}
+		})
+	}
+}
+
+// press sets the crowd on the host and checks what must hold while its connections are
+// held.
+func (c crowd) press(t *testing.T, p *process) {
+	t.Helper()
+	conns, most := c.send(t, p)
+	defer func() {
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+	}()
+	p.waitAnswered(t)
+	if !p.alive() {
+		t.Fatal("the process has ended")
+	}
+	added := p.memory(t, "VmHWM") - p.idleBytes
+	t.Logf("%d MB idle, %d MB more at most, %d descriptors", p.idleBytes/megabyte, added/megabyte, most)
+	if added > addedBytes {
+		t.Errorf("%s: the process took %d MB more, the bound is %d MB", c.name, added/megabyte, addedBytes/megabyte)
+	}
+	if bound := p.maxDescriptors - fileDescriptors; most > bound {
+		t.Errorf("%s: the process had %d descriptors open, the bound is %d", c.name, most, bound)
+	}
+}
+
+// send sends what the crowd sends, and returns its connections and the largest number of
+// descriptors that the process had open.
+func (c crowd) send(t *testing.T, p *process) (conns []net.Conn, most int) {
+	t.Helper()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	dialing := make(chan struct{}, max(c.dialing, 200))
+	for range c.callers {
+		dialing <- struct{}{}
+		wg.Go(func() {
+			conn := connect(p.listeners[c.listener])
+			<-dialing
+			if conn == nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, conn)
+			mu.Unlock()
+			_ = conn.SetWriteDeadline(time.Now().Add(sendTimeout))
+			// The host may close the connection at any point.
+			_, _ = io.Copy(conn, bytes.NewReader(c.payload))
+		})
+		most = max(most, p.descriptors())
+	}
+	wg.Wait()
+	time.Sleep(settleTime)
+	return conns, max(most, p.descriptors())
+}
+
+// connect opens a connection, or returns nil if the host does not take it.
+func connect(address netip.AddrPort) net.Conn {
+	conn, err := net.DialTimeout("tcp", address.String(), sendTimeout)
+	if err != nil {
+		return nil
+	}
+	// Answers that nobody reads stay with the host.
+	_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	return conn
+}
