Bodies of calls share the budget of memory, and the configuration's limit of them holds

What callers saw: a process was killed for its memory while clients sent bodies of legal size at once, whole or piece by piece, and stopped just short of their end.

Cause: each body was read whole, up to 1 MB, in buffers that double, where the operators' configuration allows 262,144 bytes. Nothing bounded their sum.

Why this works: a body is read in chunks, each taken from the budget before it is allocated, and so is what decoding makes of it. A call whose memory cannot be had is answered with 503 and Retry-After before it is decoded, so that it never runs; above the limit it gets 413. The check of the code "too large" moved from Decode, which no longer reads, to a running host.

--- a/internal/edge/entry/callers.go
+++ b/internal/edge/entry/callers.go
@@ -8,6 +8,7 @@
 	"github.com/kataras/iris/v12"
 
 	"github.com/rattanshore/rattanshore/internal/core/route"
+	"github.com/rattanshore/rattanshore/internal/edge/guard"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
 	"github.com/rattanshore/rattanshore/internal/wire/callrs"
 	"github.com/rattanshore/rattanshore/internal/wire/schema"
@@ -73,7 +74,7 @@
 
 // Call routes one request to a target and replies with its result.
 func (a callerAPI) Call(ctx iris.Context) {
-	request, ok := readBody[schema.CallRequest](a.Host, ctx)
+	request, ok := readBody[schema.CallRequest](a.Host, ctx, guard.TextBytes)
 	if !ok {
 		return
 	}
--- a/internal/edge/entry/decode_test.go
+++ b/internal/edge/entry/decode_test.go
@@ -1,15 +1,12 @@
 package entry_test
 
 import (
-	"strings"
 	"testing"
 
 	"github.com/rattanshore/rattanshore/internal/edge/entry"
 	"github.com/rattanshore/rattanshore/internal/wire/schema"
 )
 
-const limit = 4096
-
 // TestDecodeRefuses checks the error code for each kind of invalid body.
 func TestDecodeRefuses(t *testing.T) {
 	cases := []struct {
@@ -20,12 +17,11 @@
 		{"unknown field", `{"id":"a","colour":"red"}`, schema.UnknownField},
 		{"data after the value", `{"id":"a"} {"id":"b"}`, schema.BadRequest},
 		{"a stray brace after the value", `{"id":"a"}}`, schema.BadRequest},
-		{"too large", `{"id":"` + strings.Repeat("a", limit) + `"}`, schema.BodyTooLarge},
 		{"wrong type", `{"tasks":"many"}`, schema.BadRequest},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			_, problem := entry.Decode[schema.JobSpec](strings.NewReader(c.body), limit)
+			_, problem := entry.Decode[schema.JobSpec]([]byte(c.body))
 			if problem == nil || problem.Code != c.want {
 				t.Errorf("got %v, want %s", problem, c.want)
 			}
@@ -38,10 +34,10 @@
 	f.Add(`{"id":"a","team":"t","kind":"k","class":"urgent","tasks":1,"accelerators":8}`)
 	f.Add(`{"id":1}`)
 	f.Fuzz(func(t *testing.T, body string) {
-		if _, problem := entry.Decode[schema.JobSpec](strings.NewReader(body), limit); problem != nil && problem.Message == "" {
+		if _, problem := entry.Decode[schema.JobSpec]([]byte(body)); problem != nil && problem.Message == "" {
 			t.Error("error has no message")
 		}
-		_, _ = entry.Decode[schema.CallRequest](strings.NewReader(body), limit)
-		_, _ = entry.Decode[schema.ConfigChange](strings.NewReader(body), limit)
+		_, _ = entry.Decode[schema.CallRequest]([]byte(body))
+		_, _ = entry.Decode[schema.ConfigChange]([]byte(body))
 	})
 }
--- a/internal/edge/entry/jobs.go
+++ b/internal/edge/entry/jobs.go
@@ -14,6 +14,7 @@
 	"github.com/rattanshore/rattanshore/internal/core/confg"
 	"github.com/rattanshore/rattanshore/internal/core/rows"
 	"github.com/rattanshore/rattanshore/internal/core/sched"
+	"github.com/rattanshore/rattanshore/internal/edge/guard"
 	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
 	"github.com/rattanshore/rattanshore/internal/wire/schema"
@@ -29,7 +30,7 @@
 
 // SubmitJob validates a job and records it in a shard that can run it.
 func (a callerAPI) SubmitJob(ctx iris.Context) {
-	spec, ok := readBody[schema.JobSpec](a.Host, ctx)
+	spec, ok := readBody[schema.JobSpec](a.Host, ctx, guard.TextBytes)
 	if !ok {
 		return
 	}
--- a/internal/edge/entry/listen_test.go
+++ b/internal/edge/entry/listen_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -94,3 +96,31 @@
 	g.Expect(json.NewDecoder(response.Body).Decode(&answer)).To(Succeed())
 	g.Expect(answer.Code).To(Equal(schema.Unauthorized))
 }
+
+// TestLargeBodyIsRefused guards against a body above the limit that is read, whether or not
+// its size is announced.
+func TestLargeBodyIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	p, err := fake.New(1, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer p.Close()
+	settings := testSettings(g)
+	settings.Limits.BodyBytes = 4096
+	log := zerolog.Nop()
+	host, err := entry.New(settings, &log, platform.NewStore(p.Address(), "a"))
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- host.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	body := `{"id":"` + strings.Repeat("a", int(settings.Limits.BodyBytes)) + `"}`
+	for _, reader := range []io.Reader{strings.NewReader(body), io.MultiReader(strings.NewReader(body))} {
+		response, err := http.Post("http://"+settings.Listen.Callers.String()+"/v1/jobs", "application/json", reader)
+		g.Expect(err).NotTo(HaveOccurred())
+		var answer schema.Error
+		g.Expect(json.NewDecoder(response.Body).Decode(&answer)).To(Succeed())
+		_ = response.Body.Close()
+		g.Expect(response.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+		g.Expect(answer.Code).To(Equal(schema.BodyTooLarge))
+	}
+}
--- a/internal/edge/entry/operators.go
+++ b/internal/edge/entry/operators.go
@@ -12,6 +12,7 @@
 	"github.com/rattanshore/rattanshore/internal/core/membr"
 	"github.com/rattanshore/rattanshore/internal/core/rows"
 	"github.com/rattanshore/rattanshore/internal/core/sched"
+	"github.com/rattanshore/rattanshore/internal/edge/guard"
 	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
 	"github.com/rattanshore/rattanshore/internal/wire/operat"
@@ -37,7 +38,7 @@
 
 // SetDomain takes a failure domain out of service or returns it to service.
 func (a operatorAPI) SetDomain(ctx iris.Context, id string) {
-	change, ok := readBody[schema.DomainChange](a.Host, ctx)
+	change, ok := readBody[schema.DomainChange](a.Host, ctx, guard.TextBytes)
 	if !ok || a.refuseIfUnavailable(ctx) {
 		return
 	}
@@ -145,7 +146,7 @@
 // DrainWorker starts or ends the drain of a worker, which gets no new work while
 // it is draining.
 func (a operatorAPI) DrainWorker(ctx iris.Context, id string) {
-	change, ok := readBody[schema.DrainChange](a.Host, ctx)
+	change, ok := readBody[schema.DrainChange](a.Host, ctx, guard.TextBytes)
 	if !ok || a.refuseIfUnavailable(ctx) {
 		return
 	}
@@ -195,7 +196,7 @@
 // SetConfig commits a new configuration if it is valid and the expected version
 // is the current one.
 func (a operatorAPI) SetConfig(ctx iris.Context) {
-	change, ok := readBody[schema.ConfigChange](a.Host, ctx)
+	change, ok := readBody[schema.ConfigChange](a.Host, ctx, listBytes)
 	if !ok {
 		return
 	}
--- a/internal/edge/entry/reply.go
+++ b/internal/edge/entry/reply.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
 
+	"github.com/rattanshore/rattanshore/internal/edge/guard"
 	"github.com/rattanshore/rattanshore/internal/edge/peers"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
 	"github.com/rattanshore/rattanshore/internal/wire/schema"
@@ -38,6 +39,12 @@
 // fail replies with an error and logs it.
 func (h *Host) fail(ctx iris.Context, e schema.Error) {
 	logev.CallRefused.Log(h.log).Str("path", ctx.Path()).Str("code", string(e.Code)).Str("message", e.Message).Send()
+	h.replyError(ctx, e)
+}
+
+// replyError replies with an error. The guard of the listener logs those that are due to
+// its limits, with a bound on their number.
+func (h *Host) replyError(ctx iris.Context, e schema.Error) {
 	if !e.ComeBackAt.IsZero() {
 		seconds := max(1, int(time.Until(e.ComeBackAt).Seconds()+1))
 		ctx.Header("Retry-After", fmt.Sprint(seconds))
@@ -69,10 +76,22 @@
 	return schema.Error{Code: code, Message: message, ComeBackAt: at}
 }
 
-// readBody decodes the body of a call. If it is not valid, readBody replies with
-// the error and returns false.
-func readBody[T any](h *Host, ctx iris.Context) (T, bool) {
-	value, apiErr := Decode[T](ctx.Request().Body, h.settings.Limits.BodyBytes)
+// readBody decodes the body of a call, whose decoded size is at most what size returns. If
+// it is not valid, readBody replies with the error and returns false.
+func readBody[T any](h *Host, ctx iris.Context, size func([]byte) int64) (T, bool) {
+	var value T
+	data, err := guard.ReadBody(ctx.Request(), h.settings.Limits.BodyBytes)
+	if err == nil {
+		err = guard.Take(ctx.Request().Context(), size(data))
+	}
+	if err != nil {
+		ctx.Header("Connection", "close")
+		h.failBody(ctx, err)
+		return value, false
+	}
+	value, apiErr := Decode[T](data)
+	// What the call holds from now on are its texts, once, and its objects.
+	guard.Give(ctx.Request().Context(), int64(cap(data))+guard.TextBytes(data)-int64(len(data)))
 	if apiErr != nil {
 		h.fail(ctx, *apiErr)
 		return value, false
@@ -80,17 +99,24 @@
 	return value, true
 }
 
-// Decode reads one JSON value of at most limit bytes. Unknown fields and data
-// after the value are errors.
-func Decode[T any](body io.Reader, limit int64) (T, *schema.Error) {
-	var value T
-	data, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
-		return value, invalid(schema.BadRequest, "the body could not be read: %v", err)
-	}
-	if int64(len(data)) > limit {
-		return value, invalid(schema.BodyTooLarge, "the body is larger than %d bytes", limit)
+// failBody replies to a call whose body was not read, so that the call has had no effect.
+func (h *Host) failBody(ctx iris.Context, err error) {
+	switch {
+	case errors.Is(err, guard.ErrTooLarge):
+		h.replyError(ctx, newError(schema.BodyTooLarge, "the body is larger than %d bytes, or takes too much memory", h.settings.Limits.BodyBytes))
+	case errors.Is(err, guard.ErrFull):
+		h.replyError(ctx, retryAt(schema.NotRun, "the memory for callers is in use; nothing was done", time.Now().Add(guard.RetryAfter)))
+	default:
+		h.fail(ctx, newError(schema.BadRequest, "the body could not be read: %v", err))
 	}
+}
+
+// listBytes bounds the decoded size of a body with lists.
+func listBytes(data []byte) int64 { return guard.ListBytes(data, 0) }
+
+// Decode decodes one JSON value. Unknown fields and data after the value are errors.
+func Decode[T any](data []byte) (T, *schema.Error) {
+	var value T
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&value); err != nil {
--- a/internal/edge/fleet/admission_test.go
+++ b/internal/edge/fleet/admission_test.go
@@ -113,7 +113,7 @@
 func newAdmitting(t *testing.T, s *rowStore, host string) admitting {
 	log, meter := zerolog.Nop(), metrc.NewFleet()
 	client := store.NewClient(s, &meter.Store)
-	f := newFrontend(client, time.Now, &log, meter, gate.New(time.Second))
+	f := newFrontend(client, time.Now, &log, meter, gate.New(time.Second), 1<<20)
 	f.admission = newAdmission(Stores{Direct: client, Relayed: client}, host, time.Now, &log, meter)
 	// The tests refresh when they want to.
 	f.admission.refreshing = true
--- a/internal/edge/fleet/frontend.go
+++ b/internal/edge/fleet/frontend.go
@@ -34,6 +34,8 @@
 	meter *metrc.Fleet
 	// admission is nil if no job is refused for load.
 	admission *admission
+	// bodyBytes is the largest body while the configuration does not say.
+	bodyBytes int64
 
 	mu           sync.Mutex
 	gate         *gate.Gate
@@ -43,8 +45,8 @@
 	queueLengthsExpireAt time.Time
 }
 
-func newFrontend(s *store.Client, clock func() time.Time, log *zerolog.Logger, meter *metrc.Fleet, g *gate.Gate) *frontend {
-	return &frontend{store: s, clock: clock, log: log, meter: meter, gate: g}
+func newFrontend(s *store.Client, clock func() time.Time, log *zerolog.Logger, meter *metrc.Fleet, g *gate.Gate, bodyBytes int64) *frontend {
+	return &frontend{store: s, clock: clock, log: log, meter: meter, gate: g, bodyBytes: bodyBytes}
 }
 
 // Resolve implements Frontend.
@@ -67,6 +69,16 @@
 	}
 }
 
+// MaxBody implements Frontend.
+func (f *frontend) MaxBody() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if most := f.gate.RequestLimits().BodyBytes; most > 0 {
+		return most
+	}
+	return f.bodyBytes
+}
+
 // requestLimits returns what the configuration allows for a request before its body.
 func (f *frontend) requestLimits() guard.RequestLimits {
 	f.mu.Lock()
--- a/internal/edge/fleet/host.go
+++ b/internal/edge/fleet/host.go
@@ -107,7 +107,7 @@
 		store:        s.Direct,
 		workers:      workers,
 		directory:    directory,
-		frontend:     newFrontend(s.Relayed, clock, log, meter, gate.New(settings.Timing.KeyAge)),
+		frontend:     newFrontend(s.Relayed, clock, log, meter, gate.New(settings.Timing.KeyAge), settings.Limits.BodyBytes),
 		relay:        relay.Handler(relay.NewServer(s.Direct, []string{tableJobs}, self, log)),
 		witness:      self,
 		witnessLinks: relay.NewLinks(),
--- a/internal/edge/fleet/ports.go
+++ b/internal/edge/fleet/ports.go
@@ -78,6 +78,8 @@
 type Frontend interface {
 	// Resolve finds the queue and the team of a call.
 	Resolve(caller Caller) (Route, error)
+	// MaxBody returns the size of the largest body that a call may have, in bytes.
+	MaxBody() int64
 	// Submit stores a job.
 	Submit(ctx context.Context, route Route, job record.Job) error
 	// State returns the state of a job.
--- a/internal/edge/guard/conn.go
+++ b/internal/edge/guard/conn.go
@@ -45,6 +45,9 @@
 	// idle is set from the end of a request until the server waits for the next head. Only
 	// the server's goroutine uses it.
 	idle bool
+	// bodyUnread is set if the body of the present request was not read to its end. Only
+	// the server's goroutine uses it.
+	bodyUnread bool
 
 	// The guard's mutex guards the rest. held is the memory that the connection holds,
 	// headBytes what has been read of the present head.
@@ -115,6 +118,15 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
+// CloseWrite closes the writing side, so that a caller that is still sending can read its
+// answer before the connection is reset.
+func (c *conn) CloseWrite() error {
+	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return closer.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn. The server tells by ConnState when an ordinary connection has
 // ended; a WebSocket ends here.
 func (c *conn) Close() error {
--- a/internal/edge/guard/read.go
+++ b/internal/edge/guard/read.go
@@ -37,19 +37,27 @@
 // the body is larger than limit, and with ErrFull. After it has returned, the connection is
 // not closed for another one until its answer is written.
 func ReadBody(r *http.Request, limit int64) ([]byte, error) {
-	ctx := r.Context()
-	c := connOf(ctx)
+	c := connOf(r.Context())
+	if c == nil {
+		return readBody(r, limit)
+	}
+	data, err := readBody(r, limit)
+	if err != nil {
+		c.bodyUnread = true
+		return nil, err
+	}
+	c.guard.setBusy(c, true)
+	return data, nil
+}
+
+func readBody(r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
-		if c != nil {
+		if c := connOf(r.Context()); c != nil {
 			c.guard.reporter.Refused(Body)
 		}
 		return nil, errors.Wrapf(ErrTooLarge, "the body has %d bytes, the limit is %d", r.ContentLength, limit)
 	}
-	data, err := ReadAll(ctx, r.Body, limit)
-	if err == nil && c != nil {
-		c.guard.setBusy(c, true)
-	}
-	return data, err
+	return ReadAll(r.Context(), r.Body, limit)
 }
 
 // ReadAll reads to the end of r and takes the memory of the result, which is its capacity.
--- a/internal/edge/guard/server.go
+++ b/internal/edge/guard/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 )
 
 // contextKey is the key of a request's connection in its context.
@@ -59,9 +60,26 @@
 			g.setBusy(c, true)
 		}
 		next.ServeHTTP(w, r)
+		if c := connOf(r.Context()); c != nil && c.bodyUnread {
+			c.bodyUnread = false
+			linger(w, r)
+		}
 	})
 }
 
+// lingerTimeout bounds the wait for the next byte of a body that is not read.
+const lingerTimeout = 100 * time.Millisecond
+
+// linger makes the server wait before it closes the connection of a request whose body was
+// refused. A reset while the caller is sending would take its answer away. The server does
+// so after a reader with a limit has found more than that.
+func linger(w http.ResponseWriter, r *http.Request) {
+	if http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
+	}
+	_, _ = http.MaxBytesReader(w, r.Body, 0).Read(make([]byte, 1))
+}
+
 // headBytes returns the size of a request's head as it was sent, within a few bytes.
 func headBytes(r *http.Request) int {
 	const separators = len(": \r\n")
--- a/internal/proof/crowd/crowd_test.go
+++ b/internal/proof/crowd/crowd_test.go
@@ -57,6 +57,31 @@
 func distinctLine(n int) string { return fmt.Sprintf("%x:\n", n) }
 func sameLine(int) string       { return "a:\n" }
 
+// body returns a request with a body of the given length that lacks its last byte.
+func body(requestLine string, size int) []byte {
+	return fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n{\"spec\":\"%s", requestLine, size, strings.Repeat("x", size-10))
+}
+
+// chunkedBody returns the same in pieces of 1 KB.
+func chunkedBody(requestLine string, size int) []byte {
+	out := fmt.Appendf(nil, "%sTransfer-Encoding: chunked\r\n\r\nc\r\n{\"spec\":\"abc\r\n", requestLine)
+	for range size/1024 - 1 {
+		out = fmt.Appendf(out, "400\r\n%s\r\n", strings.Repeat("x", 1024))
+	}
+	return out
+}
+
+// wholeList returns a request whose body is a list of very many empty objects.
+func wholeList(requestLine, begin, end string, size int) []byte {
+	text := begin + strings.TrimSuffix(strings.Repeat("{},", (size-len(begin)-len(end))/3), ",") + end
+	return fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", requestLine, len(text), text)
+}
+
+const (
+	callRequest   = "POST /v1/call HTTP/1.1\r\nHost: a\r\n"
+	configRequest = "PUT /v1/config HTTP/1.1\r\nHost: a\r\nX-Rattanshore-Key: desk-key\r\n"
+)
+
 // heads are the crowds that send only heads, to any listener.
 func heads(listener string) []crowd {
 	return []crowd{
@@ -80,14 +105,27 @@
 	}
 }
 
-// fleetCrowds are the crowds against a host that serves with --fleet.
+// fleetCrowds are the crowds against a host that serves with --fleet. Bodies are of the
+// largest size that the configuration allows.
 func fleetCrowds() []crowd {
-	return append(heads("callers"), endless("callers")...)
+	const size = 262144
+	request := fmt.Sprintf(post, 1)
+	all := append(heads("callers"), endless("callers")...)
+	return append(all,
+		crowd{name: "bodies short of their last byte", listener: "callers", callers: 1000, payload: body(request, size)},
+		crowd{name: "bodies piece by piece", listener: "callers", callers: 1000, payload: chunkedBody(request, size)},
+	)
 }
 
 // entryCrowds are the crowds against a host that serves the product's own interface.
 func entryCrowds() []crowd {
-	return append(heads("callers"), endless("callers")...)
+	all := append(heads("callers"), endless("callers")...)
+	return append(all,
+		crowd{name: "bodies short of their last byte", listener: "callers", callers: 300, payload: body(callRequest, megabyte)},
+		crowd{name: "bodies piece by piece", listener: "callers", callers: 300, payload: chunkedBody(callRequest, megabyte)},
+		crowd{name: "documents of very many empty teams", listener: "operators", callers: 30,
+			payload: wholeList(configRequest, `{"document":{"teams":[`, "]}}", megabyte)},
+	)
 }
 
 // TestCrowdFleet sets each crowd on a new host of a platform.
@@ -115,6 +153,14 @@
 	}
 }
 
+// TestCrowdCalm guards against limits that refuse a large call when there is no crowd.
+func TestCrowdCalm(t *testing.T) {
+	p := startHost(t, "serve", machineDescriptors)
+	if err := p.call(t.Context(), "run-for=5ms "+strings.Repeat("x", megabyte-300)); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestCrowdOneAfterTheOther guards against memory that stays with the process after a
 // crowd, so that the next one of another form comes on top.
 func TestCrowdOneAfterTheOther(t *testing.T) {
