--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -28,7 +28,8 @@
 	// idDigits is the length of a job's identifier.
 	idDigits        = 16
 	maxPayloadBytes = 4000
-	maxSteps        = 500
+	// MaxSteps is the largest number of steps of a job.
+	MaxSteps = 500
 	// maxTasks bounds the tasks of all occurrences of a job together.
 	maxTasks = 20000
 	// maxDemand bounds each number of a step's resource demand and schedule. No
@@ -46,7 +47,7 @@
 		return errors.Wrapf(ErrInvalid, "identifier %q is not %d hexadecimal digits", job.ID, idDigits)
 	case len(job.Payload) > maxPayloadBytes:
 		return errors.Wrapf(ErrInvalid, "payload has %d bytes", len(job.Payload))
-	case len(job.Steps) == 0 || len(job.Steps) > maxSteps:
+	case len(job.Steps) == 0 || len(job.Steps) > MaxSteps:
 		return errors.Wrapf(ErrInvalid, "job has %d steps", len(job.Steps))
 	case job.Occurrences < 0 || job.IntervalMillis < 0:
 		return errors.Wrap(ErrInvalid, "negative number of occurrences or negative interval")
--- a/internal/proof/crowd/crowd_test.go
+++ b/internal/proof/crowd/crowd_test.go
@@ -110,10 +110,17 @@
 func fleetCrowds() []crowd {
 	const size = 262144
 	request := fmt.Sprintf(post, 1)
+	steps := func(begin, step, end string) []byte {
+		return []byte(begin + strings.TrimSuffix(strings.Repeat(step+",", (size-len(begin)-len(end))/(len(step)+1)), ",") + end)
+	}
+	after := steps(`{"steps":[{"count":1,"after":[`, "0", "]}]}")
 	all := append(heads("callers"), endless("callers")...)
 	return append(all,
 		crowd{name: "bodies short of their last byte", listener: "callers", callers: 1000, payload: body(request, size)},
 		crowd{name: "bodies piece by piece", listener: "callers", callers: 1000, payload: chunkedBody(request, size)},
+		crowd{name: "bodies of very many empty steps", listener: "callers", callers: 30, payload: wholeList(request, `{"steps":[`, "]}", size)},
+		crowd{name: "a body with a long list of dependencies", listener: "callers", callers: 100,
+			payload: fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", request, len(after), after)},
 	)
 }
 
