Lists are read one at a time, and large answers share the budget of memory

What callers saw: a host of the product's own interface took hundreds of MB for lists of jobs that were asked for many times at once, and kept answers that nobody read.

Cause: each call for a list read all jobs, decoded them and made one answer of them, with no bound on the calls. An answer stayed until its caller read it, without a time limit.

Evidence: 40 callers that ask for a list of 5 MB and don't read it took 740 MB above 73 MB on.

Any other answer above 4 KB is taken from the budget before it is written. If the answer of a call that may have changed something does not fit, the caller is told that its outcome is unknown.

--- a/internal/edge/entry/callers.go
+++ b/internal/edge/entry/callers.go
@@ -27,6 +27,7 @@
 // callerAPI implements the API for callers.
 type callerAPI struct {
 	*Host
+	listing listing
 }
 
 var _ callrs.ServerInterface = callerAPI{}
@@ -36,7 +37,7 @@
 	app.Get("/healthz", func(ctx iris.Context) { ctx.StatusCode(http.StatusOK) })
 	app.Get("/readyz", h.readiness)
 	app.Get("/metrics", func(ctx iris.Context) { h.metrics.Write(ctx.ResponseWriter()) })
-	callrs.RegisterHandlers(app, callerAPI{h})
+	callrs.RegisterHandlers(app, callerAPI{h, newListing()})
 	return h.closeWhenStopping(app)
 }
 
--- a/internal/edge/entry/jobs.go
+++ b/internal/edge/entry/jobs.go
@@ -224,28 +224,6 @@
 	a.reply(ctx, status)
 }
 
-// ListJobs replies with the jobs of all shards, oldest first.
-func (a callerAPI) ListJobs(ctx iris.Context, params schema.ListJobsParams) {
-	found, err := a.jobRows(ctx.Request().Context())
-	if err != nil {
-		a.failRead(ctx, err)
-		return
-	}
-	list := schema.JobList{Jobs: []schema.JobStatus{}}
-	for _, row := range found {
-		job, ok := decodeOrLog[schema.JobStatus](a.log, row)
-		if !ok {
-			continue
-		}
-		if params.Team != "" && params.Team != job.Spec.Team || params.State != "" && params.State != string(job.State) {
-			continue
-		}
-		list.Jobs = append(list.Jobs, job)
-	}
-	slices.SortFunc(list.Jobs, func(a, b schema.JobStatus) int { return a.SubmittedAt.Compare(b.SubmittedAt) })
-	a.reply(ctx, list)
-}
-
 // jobRows reads the rows of all jobs. A job that ends between the two reads is
 // found in both; its row among the ended jobs is kept.
 func (h *Host) jobRows(ctx context.Context) ([]store.Row, error) {
--- a/internal/edge/entry/operators.go
+++ b/internal/edge/entry/operators.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"time"
@@ -22,13 +23,14 @@
 // operatorAPI implements the API for operators.
 type operatorAPI struct {
 	*Host
+	listing listing
 }
 
 var _ operat.ServerInterface = operatorAPI{}
 
 func (h *Host) operatorHandler() http.Handler {
 	app := newApp()
-	operat.RegisterHandlers(app, operatorAPI{h})
+	operat.RegisterHandlers(app, operatorAPI{h, newListing()})
 	return h.requireKey(app)
 }
 
@@ -264,9 +266,10 @@
 
 // ListConfigHistory replies with the accepted configurations, newest first.
 func (a operatorAPI) ListConfigHistory(ctx iris.Context) {
-	found, err := a.readRows(ctx.Request().Context(), rows.Configs, rows.ConfigPrefix)
-	if err != nil {
-		a.failRead(ctx, err)
+	found, ok := a.listing.read(a.Host, ctx, func(request context.Context) ([]store.Row, error) {
+		return a.readRows(request, rows.Configs, rows.ConfigPrefix)
+	})
+	if !ok {
 		return
 	}
 	history := schema.ConfigHistory{Versions: []schema.ConfigVersion{}}
--- a/internal/edge/entry/reply.go
+++ b/internal/edge/entry/reply.go
@@ -53,7 +53,8 @@
 	h.reply(ctx, e)
 }
 
-// reply replies with a value as JSON.
+// reply replies with a value as JSON. A large answer that the memory for callers does not
+// allow is not sent.
 func (h *Host) reply(ctx iris.Context, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
@@ -61,10 +62,30 @@
 		ctx.StatusCode(http.StatusInternalServerError)
 		return
 	}
+	if len(data) > smallAnswerBytes {
+		if err := guard.Take(ctx.Request().Context(), int64(len(data))); err != nil {
+			h.withhold(ctx, err)
+			return
+		}
+	}
 	ctx.ContentType("application/json")
 	_, _ = ctx.Write(data)
 }
 
+// smallAnswerBytes is the size up to which an answer fits into the buffers of its
+// connection.
+const smallAnswerBytes = 4 << 10
+
+// withhold replies that an answer is not sent for lack of memory. Calls that change
+// something may have taken effect.
+func (h *Host) withhold(ctx iris.Context, err error) {
+	if ctx.Method() == http.MethodGet {
+		h.failFull(ctx, err)
+		return
+	}
+	h.replyError(ctx, retryAt(schema.OutcomeUnknown, "the call may have taken effect: the memory for its answer is in use", time.Now().Add(guard.RetryAfter)))
+}
+
 // newError returns an error with a formatted message.
 func newError(code schema.ErrorCode, format string, args ...any) schema.Error {
 	return schema.Error{Code: code, Message: fmt.Sprintf(format, args...)}
--- a/internal/proof/crowd/crowd_test.go
+++ b/internal/proof/crowd/crowd_test.go
@@ -160,6 +160,18 @@
 	}
 }
 
+// TestCrowdUnreadLists asks a host for long lists that nobody reads: 5 MB each.
+func TestCrowdUnreadLists(t *testing.T) {
+	p := startHost(t, "serve", machineDescriptors)
+	const jobs = 200
+	p.submitJobs(t, jobs, 25_000)
+	if n := p.countJobs(t); n != jobs {
+		t.Errorf("a list that is read has %d of %d jobs", n, jobs)
+	}
+	p.idleBytes = p.memory(t, "VmRSS")
+	crowd{listener: "callers", callers: 40, payload: []byte("GET /v1/jobs HTTP/1.1\r\nHost: a\r\n\r\n")}.press(t, p)
+}
+
 // TestCrowdCalm guards against limits that refuse a large call when there is no crowd.
 func TestCrowdCalm(t *testing.T) {
 	p := startHost(t, "serve", machineDescriptors)
--- a/internal/proof/crowd/hosts_test.go
+++ b/internal/proof/crowd/hosts_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -148,6 +149,35 @@
 	}
 }
 
+// countJobs reads the list of jobs and returns its length.
+func (p *process) countJobs(t *testing.T) int {
+	t.Helper()
+	client, err := schema.NewClientWithResponses("http://" + p.listeners["callers"].String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := client.ListJobsWithResponse(t.Context(), &schema.ListJobsParams{})
+	if err != nil || response.JSON200 == nil {
+		t.Fatalf("the list of jobs was answered with %v, %v", response.StatusCode(), err)
+	}
+	return len(response.JSON200.Jobs)
+}
+
+// submitJobs submits jobs with inputs of the given size, which stay in the list of jobs.
+func (p *process) submitJobs(t *testing.T, n, inputBytes int) {
+	t.Helper()
+	caller := &inproc.Caller{Key: inproc.Key}
+	for i := range n {
+		result := caller.Submit(t.Context(), inproc.Endpoint{Address: p.listeners["callers"]}, schema.JobSpec{
+			ID: fmt.Sprintf("acoustic-%d", i), Team: "parish", Kind: "model", Class: schema.Patient, Tasks: 1, Accelerators: 1,
+			Input: "run-for=10m " + strings.Repeat("x", inputBytes),
+		})
+		if result.Outcome != check.Answered {
+			t.Fatalf("job %d ended with %v: %s", i, result.Outcome, result.Error.Message)
+		}
+	}
+}
+
 // newClient returns a client that opens a connection for each request.
 func newClient() *http.Client {
 	return &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
