Messages and answers of peers' links share a budget of memory

What callers saw: a host of the platform could be ended through its peers' port, which has no key, by messages that stop short of their end.

Cause: a message of up to 8 MB was read whole for each link, and up to 64 answers of each waited for a peer that may not read.

Evidence: 60 messages of 8 MB short of their last byte took 497 MB above idle.

Why this works: a request holds one row of 64 KB at most, so messages above 256 KB end their link. Messages and answers are taken from the budget of the peers' listener and given back when the request is answered. A link on which an answer stays unread for 30 s is closed; so is one whose answer does not fit, and its peer counts the outcome as unknown, as for any lost answer.

--- a/internal/edge/relay/server.go
+++ b/internal/edge/relay/server.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/rattanshore/rattanshore/internal/edge/guard"
 	"github.com/rattanshore/rattanshore/internal/edge/store"
 	"github.com/rattanshore/rattanshore/internal/ops/logev"
 	wire "github.com/rattanshore/rattanshore/internal/wire/relay"
@@ -26,6 +27,12 @@
 	// progressInterval is the least time between two signs to a peer that an answer
 	// of the store is arriving.
 	progressInterval = 200 * time.Millisecond
+	// maxRequestBytes bounds the request of a peer. The largest holds one row, of at most
+	// 64 KB.
+	maxRequestBytes = 256 << 10
+	// answerTimeout is how long a peer may take to read an answer, also a large one over a
+	// slow link.
+	answerTimeout = 30 * time.Second
 	// maxWait bounds how long a peer may let the store wait for a change.
 	maxWait = 5 * time.Second
 )
@@ -70,10 +77,10 @@
 		return
 	}
 	defer func() { _ = conn.CloseNow() }()
-	conn.SetReadLimit(maxMessageBytes)
+	conn.SetReadLimit(maxRequestBytes)
 	slots := make(chan struct{}, maxCallsPerLink)
 	for {
-		_, data, err := conn.Read(r.Context())
+		data, err := readMessage(r.Context(), conn)
 		if err != nil {
 			return
 		}
@@ -85,11 +92,22 @@
 		slots <- struct{}{}
 		go func() {
 			defer func() { <-slots }()
+			defer guard.Give(r.Context(), int64(cap(data)))
 			s.answer(r.Context(), conn, request)
 		}()
 	}
 }
 
+// readMessage reads the next message of a link, within the memory that the listener's
+// guard allows.
+func readMessage(ctx context.Context, conn *websocket.Conn) ([]byte, error) {
+	_, message, err := conn.Reader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return guard.ReadAll(ctx, message, maxRequestBytes)
+}
+
 // Decode decodes one request.
 func Decode(data []byte) (wire.Request, error) {
 	var request wire.Request
@@ -105,7 +123,14 @@
 		logev.InternalProblem.Log(s.log).Err(err).Send()
 		return
 	}
-	// A peer that gets no response counts the outcome as unknown.
+	if err := guard.Take(ctx, int64(len(data))); err != nil {
+		// A peer that gets no response counts the outcome as unknown.
+		_ = conn.CloseNow()
+		return
+	}
+	defer guard.Give(ctx, int64(len(data)))
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
 	_ = conn.Write(ctx, websocket.MessageBinary, data)
 }
 
--- a/internal/proof/crowd/crowd_test.go
+++ b/internal/proof/crowd/crowd_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -77,6 +78,14 @@
 	return fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", requestLine, len(text), text)
 }
 
+// longMessage returns a WebSocket handshake and a message that lacks its last byte.
+func longMessage(path string, size int) []byte {
+	out := []byte("GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" +
+		"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n\x82\xff")
+	out = binary.BigEndian.AppendUint64(out, uint64(size))
+	return append(out, make([]byte, 4+size-1)...)
+}
+
 const (
 	callRequest   = "POST /v1/call HTTP/1.1\r\nHost: a\r\n"
 	configRequest = "PUT /v1/config HTTP/1.1\r\nHost: a\r\nX-Rattanshore-Key: desk-key\r\n"
@@ -121,6 +130,7 @@
 		crowd{name: "bodies of very many empty steps", listener: "callers", callers: 30, payload: wholeList(request, `{"steps":[`, "]}", size)},
 		crowd{name: "a body with a long list of dependencies", listener: "callers", callers: 100,
 			payload: fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", request, len(after), after)},
+		crowd{name: "messages short of their last byte", listener: "peers", callers: 60, payload: longMessage("/relay", 8*megabyte-1)},
 	)
 }
 
