Callers get the descriptors that the host's own calls leave

What callers saw: with enough idle connections open, a host accepted nobody, and could not reach the store, workers or peers, since these calls need descriptors too.

Cause: connections were accepted as long as descriptors were left.

Evidence: 1,500 idle connections to any one listener of a host with 1,024 descriptors took all 1,024. The bound leaves 200, as the users' machines do for files.

Why this works: a quarter of the descriptors at most is for peers' links, 64 each for the load balancer's or operators' listener and for the store, 200 for files, and what the leader's workers, or the workers and targets of the product's own interface, may need. Callers get the rest, at most limits.connections and at least 64. A host that begins to lead closes callers' idle connections before it calls its workers. The connection that was idle longest makes room for a new one, so holding all of them keeps nobody out.

An ordinary request, readiness and the metrics are answered while the crowd holds its connections.

--- a/internal/edge/entry/poll.go
+++ b/internal/edge/entry/poll.go
@@ -174,6 +174,7 @@
 	for {
 		if list, err := h.hosts.List(ctx); err == nil {
 			h.view.setHostList(list.Hosts)
+			h.intake.setHosts(len(h.view.workers()), len(h.view.targets()))
 			h.router.Send(route.TargetsMsg{Targets: h.view.targets()})
 			for _, o := range h.ownedShards() {
 				o.scheduler.Send(sched.WorkersMsg{Workers: h.view.shardWorkers(o.shard)})
--- a/internal/edge/fleet/feeds.go
+++ b/internal/edge/fleet/feeds.go
@@ -103,6 +103,7 @@
 	if err := group.Wait(); err != nil {
 		return 0, err
 	}
+	h.intake.setWorkers(len(workers.Changed))
 	s.runner.Send(workers)
 	for _, r := range roster.Rows {
 		s.sendRoster(r)
@@ -209,7 +210,7 @@
 // followJobs it asks without a wait after an error.
 func (s *session) followWorkers(ctx context.Context) {
 	var after int64
-	wait := feedWait
+	wait, known := feedWait, map[string]struct{}{}
 	for ctx.Err() == nil {
 		msg, version, err := s.host.directory.Workers(ctx, after, wait)
 		if err != nil {
@@ -220,8 +221,23 @@
 		wait = feedWait
 		after = version
 		if msg.Complete || len(msg.Changed) > 0 || len(msg.Gone) > 0 {
+			countWorkers(known, msg)
+			s.host.intake.setWorkers(len(known))
 			s.runner.Send(msg)
 			sleep(ctx, workerFeedInterval)
 		}
 	}
 }
+
+// countWorkers applies a change to the set of known workers.
+func countWorkers(known map[string]struct{}, msg plan.WorkersMsg) {
+	if msg.Complete {
+		clear(known)
+	}
+	for _, w := range msg.Changed {
+		known[w.ID] = struct{}{}
+	}
+	for _, id := range msg.Gone {
+		delete(known, id)
+	}
+}
--- a/internal/edge/fleet/intake.go
+++ b/internal/edge/fleet/intake.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -11,17 +12,24 @@
 	"github.com/rattanshore/rattanshore/internal/edge/httpc"
 )
 
+// workerDescriptorsPercent is how many descriptors a leader needs for its workers, of each
+// of which it may have a second connection for some seconds.
+const workerDescriptorsPercent = 125
+
 // intake bounds what the callers of each listener can make the host hold.
 type intake struct {
 	callers, ready, peers *guard.Guard
+	// workers is how many workers this host leads.
+	workers atomic.Int64
 }
 
 func newIntake(h *Host) *intake {
 	in := &intake{}
 	limits := h.settings.Limits
+	shares := guard.NewShares(limits, h.settings.MaxDescriptors())
 	in.callers = guard.NewFor(guard.Listener{
 		Name: "callers", Meter: h.meter.Callers, MemoryMB: limits.MemoryMB, Request: h.frontend.requestLimits,
-		Connections: func() int { return limits.Connections },
+		Connections: func() int { return shares.Callers(int(in.workers.Load()) * workerDescriptorsPercent / 100) },
 	}, limits, h.log)
 	in.ready = guard.NewFor(guard.Listener{
 		Name: "ready", Meter: h.meter.Ready, MemoryMB: limits.OtherMemoryMB,
@@ -29,11 +37,18 @@
 	}, limits, h.log)
 	in.peers = guard.NewFor(guard.Listener{
 		Name: "peers", Meter: h.meter.Peers, MemoryMB: limits.OtherMemoryMB,
-		Connections: func() int { return limits.PeerConnections },
+		Connections: func() int { return shares.Peers },
 	}, limits, h.log)
 	return in
 }
 
+// setWorkers tells how many workers this host leads, whose connections come before those of
+// callers.
+func (in *intake) setWorkers(n int) {
+	in.workers.Store(int64(n))
+	in.callers.Trim()
+}
+
 // server is an HTTP server with its address and the guard of its connections.
 type server struct {
 	*http.Server
--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -51,6 +51,7 @@
 		s.host.mu.Lock()
 		s.host.notifyPlanner = nil
 		s.host.mu.Unlock()
+		s.host.intake.setWorkers(0)
 		s.host.meter.Teams.Set(nil)
 		s.host.meter.Targets.Set(nil)
 	}()
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -23,8 +23,8 @@
 const (
 	// maxResponseBytes limits the size of a response.
 	maxResponseBytes = 16 << 20
-	// maxConnsPerTarget limits the connections from this host to one target.
-	maxConnsPerTarget = 8
+	// MaxConnections limits the connections from this host to one target.
+	MaxConnections = 8
 )
 
 // Client sends requests to targets.
@@ -36,8 +36,8 @@
 func New(host string) *Client {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxConnsPerHost:     maxConnsPerTarget,
-		MaxIdleConnsPerHost: maxConnsPerTarget,
+		MaxConnsPerHost:     MaxConnections,
+		MaxIdleConnsPerHost: MaxConnections,
 		IdleConnTimeout:     time.Minute,
 	}
 	return &Client{client: httpc.New(host, transport, maxResponseBytes)}
--- a/internal/edge/worker/worker.go
+++ b/internal/edge/worker/worker.go
@@ -18,6 +18,8 @@
 var ErrNoAnswer = errors.New("no answer from worker")
 
 const (
+	// MaxConnections is how many connections to one worker are kept.
+	MaxConnections = 2
 	// maxResponseBytes limits the size of a response.
 	maxResponseBytes = 4 << 20
 	// bufferBytes is the size of a connection's read and write buffers. It is
@@ -36,7 +38,7 @@
 // for a response, in addition to the time that a call lets the worker wait.
 func New(host string, timeout time.Duration) *Client {
 	transport := &http.Transport{
-		MaxIdleConnsPerHost: 2,
+		MaxIdleConnsPerHost: MaxConnections,
 		IdleConnTimeout:     time.Minute,
 		ReadBufferSize:      bufferBytes,
 		WriteBufferSize:     bufferBytes,
--- a/internal/proof/crowd/crowd_test.go
+++ b/internal/proof/crowd/crowd_test.go
@@ -203,6 +203,21 @@
 	}
 }
 
+// TestCrowdIdleConnections guards against connections that take the descriptors of the
+// host's own calls, and keep ordinary callers out by holding all that callers may have.
+func TestCrowdIdleConnections(t *testing.T) {
+	const descriptors = 1024
+	for _, l := range []struct{ way, listener string }{
+		{"fleet", "callers"}, {"fleet", "ready"}, {"fleet", "peers"},
+		{"serve", "callers"}, {"serve", "operators"}, {"serve", "peers"},
+	} {
+		t.Run(l.way+"/"+l.listener, func(t *testing.T) {
+			p := startHost(t, l.way, descriptors)
+			crowd{listener: l.listener, callers: 1500, dialing: 50}.press(t, p)
+		})
+	}
+}
+
 // press sets the crowd on the host and checks what must hold while its connections are
 // held.
 func (c crowd) press(t *testing.T, p *process) {
