The runtime is told the machine's memory

What callers saw: nothing by this alone. After a crowd the memory stayed with the process, and a second crowd of another form came on top.

Cause: the runtime lets the heap double before it collects, and did not know how much memory the machine has.

Evidence: a leader of 3,000 workers with 4,100 descriptors and one crowd after the other reached 2,458 MB and all its descriptors on; a machine has 284 MB and leaves 3,900 descriptors.

Why this works: memory-mb, which the deploy template fills in, or else the memory of the machine, bounds what the runtime may use to 85 %. It collects earlier when it is near.

--- a/internal/ops/verbs/fleet.go
+++ b/internal/ops/verbs/fleet.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -34,6 +35,7 @@
 	for _, problem := range problems {
 		logev.SettingIgnored.Log(&log).Str("problem", problem).Send()
 	}
+	limitMemory(settings.Machine)
 	steadyClock := clock.New()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -44,6 +46,14 @@
 	return host.Run(ctx, ingress, http.HandlerFunc(ingress.Ready))
 }
 
+// limitMemory tells the runtime how much memory it may use, so that it collects garbage in
+// time instead of letting the heap double.
+func limitMemory(machine setng.Machine) {
+	if limit := machine.MemoryLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
+}
+
 // logReloadSignals logs each SIGHUP, which announces a change of the settings
 // file. A running host keeps its settings; the file takes effect at the next
 // start.
--- a/internal/ops/verbs/serve.go
+++ b/internal/ops/verbs/serve.go
@@ -53,6 +53,7 @@
 func serve(ctx context.Context, settings setng.Settings) error {
 	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	log := zerolog.New(os.Stdout).Level(settings.Level()).With().Timestamp().Str("host", settings.Host.ID).Logger()
+	limitMemory(settings.Machine)
 	host, err := entry.New(settings, &log, platform.NewStore(settings.Platform.Table, settings.Host.ID))
 	if err != nil {
 		return err
--- a/internal/proof/crowd/crowd_test.go
+++ b/internal/proof/crowd/crowd_test.go
@@ -203,6 +203,31 @@
 	}
 }
 
+// TestCrowdBesideLeader guards against callers that take the memory or the descriptors of
+// what a leader needs for its workers: all must fit the machine together.
+func TestCrowdBesideLeader(t *testing.T) {
+	const workers = 3000
+	p := &process{}
+	p.startFleet(t, machineDescriptors, workers)
+	p.waitAnswered(t)
+	for end := time.Now().Add(time.Minute); p.descriptors() < workers && time.Now().Before(end); {
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Logf("%d MB with %d descriptors before the crowds", p.memory(t, "VmRSS")/megabyte, p.descriptors())
+	for _, c := range fleetCrowds() {
+		_, most := c.send(t, p)
+		p.waitAnswered(t)
+		memory := p.memory(t, "VmHWM")
+		t.Logf("%d MB at most, %d descriptors: %s", memory/megabyte, most, c.name)
+		if memory > machineMemoryMB*megabyte {
+			t.Errorf("%s: the process took %d MB, the machine has %d MB", c.name, memory/megabyte, machineMemoryMB)
+		}
+		if bound := machineDescriptors - fileDescriptors; most > bound {
+			t.Errorf("%s: the process had %d descriptors open, the bound is %d", c.name, most, bound)
+		}
+	}
+}
+
 // TestCrowdIdleConnections guards against connections that take the descriptors of the
 // host's own calls, and keep ordinary callers out by holding all that callers may have.
 func TestCrowdIdleConnections(t *testing.T) {
