Log lines hold the beginning of what callers send

Suspected, not shown: a path of up to 1 MB went into a log line whole, and 4,096 lines may wait to be written. With a log that is written slowly they could hold what callers send after the connections have given it back. No test failed by it.

Paths, identifiers and messages are clipped to 256 bytes in lines about refused calls and jobs.

--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -44,7 +44,7 @@
 func Check(job record.Job) error {
 	switch {
 	case !validID(job.ID):
-		return errors.Wrapf(ErrInvalid, "identifier %q is not %d hexadecimal digits", job.ID, idDigits)
+		return errors.Wrapf(ErrInvalid, "identifier %.40q is not %d hexadecimal digits", job.ID, idDigits)
 	case len(job.Payload) > maxPayloadBytes:
 		return errors.Wrapf(ErrInvalid, "payload has %d bytes", len(job.Payload))
 	case len(job.Steps) == 0 || len(job.Steps) > MaxSteps:
--- a/internal/edge/entry/jobs.go
+++ b/internal/edge/entry/jobs.go
@@ -40,7 +40,7 @@
 	config, _ := a.view.currentConfig()
 	shards, apiErr := checkJob(spec, config.Document, a.view.workers(), time.Now())
 	if apiErr != nil {
-		logev.JobRefused.Log(a.log).Str("job", spec.ID).Str("code", string(apiErr.Code)).Str("message", apiErr.Message).
+		logev.JobRefused.Log(a.log).Str("job", logev.Clip(spec.ID)).Str("code", string(apiErr.Code)).Str("message", logev.Clip(apiErr.Message)).
 			Int64("config-version", config.Version).Send()
 		a.fail(ctx, *apiErr)
 		return
--- a/internal/edge/entry/reply.go
+++ b/internal/edge/entry/reply.go
@@ -38,7 +38,8 @@
 
 // fail replies with an error and logs it.
 func (h *Host) fail(ctx iris.Context, e schema.Error) {
-	logev.CallRefused.Log(h.log).Str("path", ctx.Path()).Str("code", string(e.Code)).Str("message", e.Message).Send()
+	logev.CallRefused.Log(h.log).Str("path", logev.Clip(ctx.Path())).Str("code", string(e.Code)).
+		Str("message", logev.Clip(e.Message)).Send()
 	h.replyError(ctx, e)
 }
 
@@ -163,7 +164,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		key := []byte(r.Header.Get(peers.KeyHeader))
 		if subtle.ConstantTimeCompare(key, []byte(h.settings.Keys.Operators)) != 1 {
-			logev.CallRefused.Log(h.log).Str("path", r.URL.Path).Str("code", string(schema.Unauthorized)).Send()
+			logev.CallRefused.Log(h.log).Str("path", logev.Clip(r.URL.Path)).Str("code", string(schema.Unauthorized)).Send()
 			body, _ := json.Marshal(newError(schema.Unauthorized, "the operators' key is missing or wrong"))
 			w.Header().Set("Content-Type", "application/json")
 			w.WriteHeader(http.StatusUnauthorized)
--- a/internal/edge/fleet/frontend.go
+++ b/internal/edge/fleet/frontend.go
@@ -58,7 +58,7 @@
 	if err == nil {
 		return Route{Queue: queue, Team: team, JobID: rest}, nil
 	}
-	logev.CallRefused.Log(f.log).Str("path", caller.Path).Int64("config-version", version).Err(err).Send()
+	logev.CallRefused.Log(f.log).Str("path", logev.Clip(caller.Path)).Int64("config-version", version).Err(err).Send()
 	switch {
 	case errors.Is(err, gate.ErrUnknownQueue):
 		return Route{}, errors.Mark(err, ErrUnknownQueue)
@@ -125,7 +125,7 @@
 
 func (f *frontend) submit(ctx context.Context, route Route, job record.Job) error {
 	if err := jobs.Check(job); err != nil {
-		logev.JobRefused.Log(f.log).Str("job", job.ID).Str("queue", job.Queue).Err(err).Send()
+		logev.JobRefused.Log(f.log).Str("job", logev.Clip(job.ID)).Str("queue", job.Queue).Err(err).Send()
 		return errors.Mark(err, ErrInvalid)
 	}
 	if err := jobs.CheckSupported(job, route.Queue); err != nil {
--- a/internal/ops/logev/logev.go
+++ b/internal/ops/logev/logev.go
@@ -202,6 +202,18 @@
 	return logger.Error().Int("event", int(e))
 }
 
+// maxTextBytes is the most of a text from outside that a log line holds. Lines that wait to
+// be written would otherwise hold as much as callers send.
+const maxTextBytes = 256
+
+// Clip returns the beginning of a text that a caller has sent, for a log line.
+func Clip(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxTextBytes], "") + "..."
+}
+
 // Catalogue returns the catalogue as the Markdown table of docs/EVENTS.md.
 func Catalogue() string {
 	var out strings.Builder
