--- a/internal/edge/entry/listen_test.go
+++ b/internal/edge/entry/listen_test.go
@@ -73,21 +73,29 @@
 	expectFree(g, settings.Listen.Callers, settings.Listen.Operators, settings.Listen.Peers)
 }
 
-// TestMissingKeyIsAnsweredWithAnError guards against a refusal without a body, which
-// a client cannot tell from that of a proxy.
-func TestMissingKeyIsAnsweredWithAnError(t *testing.T) {
-	g := NewWithT(t)
+// startHost runs a host beside a fake platform until the test ends.
+func startHost(t *testing.T, g *WithT, settings setng.Settings) {
 	p, err := fake.New(1, time.Second)
 	g.Expect(err).NotTo(HaveOccurred())
-	defer p.Close()
-	settings := testSettings(g)
 	log := zerolog.Nop()
 	host, err := entry.New(settings, &log, platform.NewStore(p.Address(), "a"))
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- host.Run(ctx) }()
-	defer func() { cancel(); <-done }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		p.Close()
+	})
+}
+
+// TestMissingKeyIsAnsweredWithAnError guards against a refusal without a body, which
+// a client cannot tell from that of a proxy.
+func TestMissingKeyIsAnsweredWithAnError(t *testing.T) {
+	g := NewWithT(t)
+	settings := testSettings(g)
+	startHost(t, g, settings)
 	response, err := http.Get("http://" + settings.Listen.Operators.String() + "/v1/hosts")
 	g.Expect(err).NotTo(HaveOccurred())
 	defer response.Body.Close()
@@ -101,18 +109,9 @@
 // its size is announced.
 func TestLargeBodyIsRefused(t *testing.T) {
 	g := NewWithT(t)
-	p, err := fake.New(1, time.Second)
-	g.Expect(err).NotTo(HaveOccurred())
-	defer p.Close()
 	settings := testSettings(g)
 	settings.Limits.BodyBytes = 4096
-	log := zerolog.Nop()
-	host, err := entry.New(settings, &log, platform.NewStore(p.Address(), "a"))
-	g.Expect(err).NotTo(HaveOccurred())
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- host.Run(ctx) }()
-	defer func() { cancel(); <-done }()
+	startHost(t, g, settings)
 	body := `{"id":"` + strings.Repeat("a", int(settings.Limits.BodyBytes)) + `"}`
 	for _, reader := range []io.Reader{strings.NewReader(body), io.MultiReader(strings.NewReader(body))} {
 		response, err := http.Post("http://"+settings.Listen.Callers.String()+"/v1/jobs", "application/json", reader)
--- a/internal/ops/setng/intake.go
+++ b/internal/ops/setng/intake.go
@@ -46,8 +46,8 @@
 // problem returns the first key that cannot be used and why, or two empty texts.
 func (i Intake) problem() (key, problem string) {
 	for _, v := range []struct {
-		key         string
-		value, most int64
+		key          string
+		value, least int64
 	}{
 		{"memory-mb", int64(i.MemoryMB), minMemoryMB},
 		{"other-memory-mb", int64(i.OtherMemoryMB), minMemoryMB},
@@ -56,8 +56,8 @@
 		{"header-bytes", int64(i.HeaderBytes), minHeaderBytes},
 		{"body-bytes", i.BodyBytes, 1},
 	} {
-		if v.value < v.most {
-			return v.key, fmt.Sprintf("must be at least %d", v.most)
+		if v.value < v.least {
+			return v.key, fmt.Sprintf("must be at least %d", v.least)
 		}
 	}
 	if most := int64(min(i.MemoryMB, i.OtherMemoryMB)) * bytesPerMB / bodyShare; i.BodyBytes > most {
