A refusal of a large head reaches a caller that is sending its body

As for bodies that are refused: the server waits before it closes the connection, instead of resetting it under the caller. The test of single requests has the case.

--- a/internal/edge/guard/guard_test.go
+++ b/internal/edge/guard/guard_test.go
@@ -215,6 +215,7 @@
 		head(7 << 10):     http.StatusOK,
 		head(9 << 10):     http.StatusRequestHeaderFieldsTooLarge,
 		head(32 << 10):    http.StatusRequestHeaderFieldsTooLarge,
+		strings.Replace(post(maxBody), "Host", "A: "+strings.Repeat("x", 9<<10)+"\r\nHost", 1): http.StatusRequestHeaderFieldsTooLarge,
 	} {
 		g.Expect(status(s.open(g, text))).To(Equal(want), "%.80q", text)
 	}
--- a/internal/edge/guard/server.go
+++ b/internal/edge/guard/server.go
@@ -54,6 +54,9 @@
 			g.reporter.Refused(Head)
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
+			if r.ContentLength != 0 {
+				linger(w, r)
+			}
 			return
 		}
 		if c := connOf(r.Context()); c != nil && r.ContentLength == 0 {
