--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -8,4 +8,4 @@
 		exit 2
 	fi
 done
-exec target/rig3 near review/14 target/rattanshore
+exec target/rig3 cancel review/14 target/rattanshore
