--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -14,6 +15,7 @@
 	"near":   lastingTaskNearItsData,
 	"count":  waitingCount,
 	"long":   longJobs,
+	"herd":   herdKill,
 }
 
 var whole = amounts{64000, 131072, 8}
@@ -312,3 +314,57 @@
 	}
 	return free
 }
+
+// herdKill: half of the hosts lose power at once, the leader and its witnesses among them,
+// and come back. Seconds later, when all is calm, the minion of a task that lasts is lost.
+func herdKill(s *site, trouble bool) {
+	const (
+		id   = "00000000000000d1"
+		dark = 3 * time.Second
+	)
+	s.configure(1, main1, extra)
+	for i := range 8 {
+		s.addMinion("i-"+string(rune('a'+i)), "fi-south-"+string(rune('a'+i%4)), []string{"a", "r1-0"}, whole)
+	}
+	for i := range 8 {
+		s.addHost("front-"+strconv.Itoa(i+1), "fi-south-"+string(rune('a'+i%4)))
+	}
+	s.awaitReady()
+	lasting := job{"ms=0", []step{{Count: 1, CPU: 4000, Mem: 8000, GPU: 4, Estimate: 0, Perpetual: true}}}
+	s.submit(extra.prefix, id, lasting)
+	first := s.awaitStart(id, 1, 10*time.Second)
+	// The leader names its witnesses within some seconds.
+	time.Sleep(8 * time.Second)
+	leader, witnesses := s.leader()
+	s.log("%s leads, its witnesses are %s", leader, strings.Join(witnesses, ", "))
+	down := append([]string{leader}, witnesses...)
+	if trouble && os.Getenv("ONLY") != "minion" {
+		s.kill(down, dark)
+		time.Sleep(10*time.Second - dark)
+		now, _ := s.leader()
+		s.log("%s leads; it is 10 s after the loss of power", now)
+		if now == leader {
+			s.cannotRun("the same host leads again")
+		}
+	}
+	if s.running(id) == 0 {
+		s.cannotRun("the task has been started anew")
+	}
+	lost := time.Now()
+	if trouble {
+		m := s.minion(first.minion)
+		m.crash()
+		s.log("minion %s is lost for good", m.id)
+		time.AfterFunc(3*heartbeat, func() { s.store.remove("servers", m.id) })
+	}
+	away := time.Duration(0)
+	for time.Since(lost) < 40*time.Second {
+		time.Sleep(20 * time.Millisecond)
+		if s.running(id) > 0 {
+			break
+		}
+		away = time.Since(lost)
+	}
+	s.verdict(away > 15*time.Second, "the task that lasts had nothing running for %.1f s from the loss of its minion on; %d of 64 GPUs are free",
+		away.Seconds(), s.freeGPUs())
+}
--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -11,6 +11,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -339,6 +341,44 @@
 	s.log("host %s has stopped and is started again", h.name)
 }
 
+var hostNames = regexp.MustCompile(`front-[0-9]+`)
+
+// leader returns which host leads and which hosts are its witnesses: the names in the
+// leader's row, in this order. They choose whom a disruption meets, and are no part of any
+// check.
+func (s *site) leader() (string, []string) {
+	var names []string
+	s.store.mu.Lock()
+	for k, r := range s.store.rows {
+		if k.Key == "planner" {
+			names = hostNames.FindAllString(string(r.Value), -1)
+		}
+	}
+	s.store.mu.Unlock()
+	if len(names) == 0 {
+		s.cannotRun("no host leads")
+	}
+	return names[0], names[1:]
+}
+
+// kill kills hosts at once, and starts them again after the time.
+func (s *site) kill(names []string, dark time.Duration) {
+	s.log("SIGKILL to %d of %d hosts: %s", len(names), len(s.hosts), strings.Join(names, ", "))
+	var killed []*host
+	for _, h := range s.hosts {
+		if slices.Contains(names, h.name) {
+			_ = h.command.Process.Kill()
+			killed = append(killed, h)
+		}
+	}
+	time.Sleep(dark)
+	for _, h := range killed {
+		<-h.exited
+		s.startHost(h)
+	}
+	s.log("they are started again")
+}
+
 var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
 // call sends a client's request and returns the status and the body; status 0 means that
