review/rig3: each host has a loopback address of its own

Cause: one of ten scripts beside each other ended with 2, 'host front-2 is not ready'. Its logs were not kept; two scripts that take one port is the likeliest cause, not shown. Change: addresses depend on the process and the host, and no port of a host is given out twice.

--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -226,23 +226,34 @@
 	ports     = 18000
 )
 
-// freePort returns an address with a port that is free now.
-func (s *site) freePort() string {
+// freeAddresses returns n addresses of a host that are free now. Each host has a loopback
+// address of its own, which depends on this process, so that scripts beside each other
+// do not take each other's ports.
+func (s *site) freeAddresses(n int) []string {
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8)%250, pid&0xff, 2+len(s.hosts))
+	var free []string
 	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(firstPort+rand.IntN(ports)))
-		if err == nil {
+		address := net.JoinHostPort(ip, strconv.Itoa(firstPort+rand.IntN(ports)))
+		if slices.Contains(free, address) {
+			continue
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
 			_ = l.Close()
-			return l.Addr().String()
+			if free = append(free, address); len(free) == n {
+				return free
+			}
 		}
 	}
 	s.cannotRun("no free port")
-	return ""
+	return nil
 }
 
 // addHost writes the settings of a host, as the deploy file's template has them, and
 // starts it.
 func (s *site) addHost(name, zone string) *host {
-	h := &host{name: name, zone: zone, front: s.freePort(), ready: s.freePort()}
+	free := s.freeAddresses(3)
+	h := &host{name: name, zone: zone, front: free[0], ready: free[1]}
 	h.settings = filepath.Join(s.dir, name+".yaml")
 	h.logFile = filepath.Join(s.dir, name+".log")
 	text := fmt.Sprintf(`host:
@@ -267,7 +278,7 @@
   keep-ended: 120s
   revoke: 5000ms
   stop-grace: 6s
-`, name, zone, h.front, h.ready, s.freePort(), s.server.Addr)
+`, name, zone, h.front, h.ready, free[2], s.server.Addr)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		s.cannotRun("%v", err)
 	}
