--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -43,7 +43,7 @@
 // Check returns an error that wraps ErrInvalid if the job is invalid.
 func Check(job record.Job) error {
 	switch {
-	case !validID(job.ID):
+	case !ValidID(job.ID):
 		return errors.Wrapf(ErrInvalid, "identifier %.40q is not %d hexadecimal digits", job.ID, idDigits)
 	case len(job.Payload) > maxPayloadBytes:
 		return errors.Wrapf(ErrInvalid, "payload has %d bytes", len(job.Payload))
@@ -85,7 +85,8 @@
 	return nil
 }
 
-func validID(id string) bool {
+// ValidID reports whether a job may have the identifier.
+func ValidID(id string) bool {
 	if len(id) != idDigits {
 		return false
 	}
--- a/internal/edge/fleet/admission.go
+++ b/internal/edge/fleet/admission.go
@@ -32,8 +32,8 @@
 	reasonCrowded admit.Reason = "too many are refused already"
 )
 
-// OverloadError means that a job was refused for load. Nothing was stored, and its
-// caller is to come back.
+// OverloadError means that a job or a cancellation was refused for load. Nothing was
+// stored, and its caller is to come back.
 type OverloadError struct {
 	Reason     admit.Reason
 	ComeBackAt time.Time
@@ -49,6 +49,11 @@
 	return ErrNotStored
 }
 
+// RetryAt returns when the caller may come back.
+func (e *OverloadError) RetryAt() time.Time {
+	return e.ComeBackAt
+}
+
 // admission decides on submissions by the leader's digest of the load, which it reads
 // in the background while there are submissions.
 type admission struct {
--- a/internal/edge/fleet/admission_test.go
+++ b/internal/edge/fleet/admission_test.go
@@ -56,10 +56,15 @@
 		return store.Outcome{}, err
 	}
 	defer s.mu.Unlock()
+	outcome := store.Outcome{Applied: true, Clock: s.now()}
 	for _, r := range change.Expect {
-		if known := s.rows[r.Key]; known.Version != r.Version {
-			return store.Outcome{Clock: s.now(), Current: []store.Row{known}}, nil
-		}
+		known := s.rows[r.Key]
+		known.Key = r.Key
+		outcome.Current = append(outcome.Current, known)
+		outcome.Applied = outcome.Applied && known.Version == r.Version
+	}
+	if !outcome.Applied {
+		return outcome, nil
 	}
 	for _, r := range change.Put {
 		if r.Key.Table == tableJobs {
@@ -67,6 +72,9 @@
 		}
 		s.put(r.Key, r.Value)
 	}
+	for _, key := range change.Remove {
+		delete(s.rows, key)
+	}
 	return store.Outcome{Applied: true, Version: s.version, Clock: s.now()}, nil
 }
 
--- a/internal/edge/fleet/feeds.go
+++ b/internal/edge/fleet/feeds.go
@@ -109,6 +109,7 @@
 		s.sendRoster(r)
 	}
 	for _, r := range jobs.Rows {
+		s.sweeper.note(r)
 		s.sendJob(r, progress)
 	}
 	for _, r := range jobs.Rows {
@@ -162,6 +163,9 @@
 	if _, ok := cancelledJob(row.Key.Name); ok || row.Deleted {
 		return
 	}
+	if _, ok := tombstoneOf(row); ok {
+		return
+	}
 	var job record.Job
 	err := decode(row.Value, &job)
 	if err == nil {
@@ -188,6 +192,7 @@
 		}
 		wait = feedWait
 		for _, r := range rows.Rows {
+			s.sweeper.note(r)
 			s.sendJob(r, nil)
 		}
 		for _, r := range rows.Rows {
--- a/internal/edge/fleet/frontend.go
+++ b/internal/edge/fleet/frontend.go
@@ -34,6 +34,8 @@
 	meter *metrc.Fleet
 	// admission is nil if no job is refused for load.
 	admission *admission
+	// tombstones are left for jobs that are cancelled while they are not stored.
+	tombstones *tombstones
 	// bodyBytes is the largest body while the configuration does not say.
 	bodyBytes int64
 
@@ -149,7 +151,13 @@
 		return errors.Mark(err, ErrInvalid)
 	}
 	row, err := f.store.Insert(ctx, store.Row{Key: jobKey(job.ID), Value: value}, refusalTimeout)
+	tombstone, cancelled := tombstoneOf(row)
 	switch {
+	case err == nil && cancelled:
+		err := f.tombstones.refusal(tombstone)
+		logev.JobRefused.Log(f.log).Str("job", job.ID).Str("outcome", "cancelled before").
+			Int64("row-version", row.Version).Err(err).Send()
+		return err
 	case err == nil:
 		line := logev.JobRecorded.Log(f.log).Str("job", job.ID).Str("queue", job.Queue).Str("team", job.Team).
 			Int64("row-version", row.Version)
@@ -191,36 +199,51 @@
 	if err != nil {
 		return "", errors.Mark(err, ErrNotReady)
 	}
-	if row.Version == 0 {
+	if _, cancelled := tombstoneOf(row); row.Version == 0 || cancelled {
 		return "", ErrUnknownJob
 	}
 	return record.Queued, nil
 }
 
 // Cancel implements Frontend.
-func (f *frontend) Cancel(ctx context.Context, _ Route, id string) error {
+func (f *frontend) Cancel(ctx context.Context, route Route, id string) error {
+	if !jobs.ValidID(id) {
+		return ErrUnknownJob
+	}
 	row, err := f.store.Read(ctx, jobKey(id))
 	if err != nil {
 		return errors.Mark(err, ErrNotReady)
 	}
-	if row.Version == 0 {
-		return ErrUnknownJob
+	if _, cancelled := tombstoneOf(row); row.Version == 0 || cancelled {
+		err = f.tombstones.leave(ctx, route.Team, row)
+	}
+	if err != nil {
+		return err
 	}
+	return f.recordCancel(ctx, id)
+}
+
+// recordCancel stores the cancellation of a stored job.
+func (f *frontend) recordCancel(ctx context.Context, id string) error {
 	value, err := encode(f.clock())
 	if err != nil {
 		return err
 	}
 	_, err = f.store.Insert(ctx, store.Row{Key: cancelKey(id), Value: value}, refusalTimeout)
-	switch {
-	case err == nil:
-		f.meter.Cancelled.Inc()
-		logev.CancelRecorded.Log(f.log).Str("job", id).Send()
-		return nil
-	case errors.Is(err, store.ErrUnanswered):
+	if err != nil {
+		return writeError(err)
+	}
+	f.meter.Cancelled.Inc()
+	logev.CancelRecorded.Log(f.log).Str("job", id).Send()
+	return nil
+}
+
+// writeError marks the error of a write with what is known of its outcome.
+func writeError(err error) error {
+	if errors.Is(err, store.ErrUnanswered) {
 		return errors.Mark(err, ErrOutcomeUnknown)
-	default:
-		return errors.Mark(err, ErrNotStored)
 	}
+	return errors.Mark(err, ErrNotStored)
 }
 
 // Waiting implements Frontend.
--- a/internal/edge/fleet/registry.go
+++ b/internal/edge/fleet/registry.go
@@ -43,6 +43,11 @@
 	return r.peers
 }
 
+// count returns how many hosts there are, this one included.
+func (r *registry) count() int {
+	return len(r.hosts()) + 1
+}
+
 // setHosts replaces the peers.
 func (r *registry) setHosts(peers []record.Host) {
 	addresses := make([]netip.AddrPort, len(peers))
--- a/internal/edge/fleet/relay_test.go
+++ b/internal/edge/fleet/relay_test.go
@@ -55,6 +55,16 @@
 	return s
 }
 
+// registered reports whether a host has written its row, which it does once it has read
+// those of its peers.
+func registered(p *fake.Platform, name string) func() bool {
+	reader := platform.NewStore(p.Address(), "test")
+	return func() bool {
+		rows, err := reader.Range(context.Background(), store.Span{Table: "hosts", Part: "hosts"}, 10)
+		return err == nil && slices.ContainsFunc(rows.Rows, func(r store.Row) bool { return r.Key.Name == name })
+	}
+}
+
 // A host that cannot reach the store goes on serving callers through a peer.
 var _ = Describe("a host without a way to the store", func() {
 	var (
@@ -70,15 +80,6 @@
 		status, _ := caller.Call(ctx, h.callers, http.MethodPost, job.ID, fake.Submission(job), callTimeout)
 		return status
 	}
-	// registered reports whether a host has written its row, which it does once it has
-	// read those of its peers.
-	registered := func(name string) func() bool {
-		reader := platform.NewStore(p.Address(), "test")
-		return func() bool {
-			rows, err := reader.Range(ctx, store.Span{Table: "hosts", Part: "hosts"}, 10)
-			return err == nil && slices.ContainsFunc(rows.Rows, func(r store.Row) bool { return r.Key.Name == name })
-		}
-	}
 	configure := func(version int64, key string) {
 		p.Configure(rules.Config{
 			Version: version, Queues: []rules.Queue{queue}, Targets: []rules.Target{{Name: "bells", EnforcesCapacity: true}},
@@ -99,11 +100,11 @@
 		Eventually(func() int { return submit(peer, 1) }, 5*time.Second).Should(Equal(http.StatusOK))
 		// A host that loses the store before it has read its peers' rows, within some
 		// 20 ms of its start, has nobody to ask and can only refuse.
-		Eventually(registered("peer"), 5*time.Second, 5*time.Millisecond).Should(BeTrue())
+		Eventually(registered(p, "peer"), 5*time.Second, 5*time.Millisecond).Should(BeTrue())
 		path = newStorePath(p)
 		cut = startHostWithStore(path.address, "cut", keyAge)
 		Eventually(func() int { return submit(cut, 2) }, 5*time.Second).Should(Equal(http.StatusOK))
-		Eventually(registered("cut"), 5*time.Second, 5*time.Millisecond).Should(BeTrue())
+		Eventually(registered(p, "cut"), 5*time.Second, 5*time.Millisecond).Should(BeTrue())
 	})
 
 	AfterEach(func() {
--- a/internal/edge/fleet/rows.go
+++ b/internal/edge/fleet/rows.go
@@ -13,7 +13,8 @@
 // Names of the scheduler's own tables in the platform's store.
 const (
 	// tableJobs holds each job under its identifier and its cancellation under
-	// the identifier with cancelSuffix. Its rows are written once.
+	// the identifier with cancelSuffix. These rows are written once. A job that was
+	// cancelled while it was not stored has a tombstone under its identifier.
 	tableJobs = "jobs"
 	// tableProgress holds the progress of each job, that of many tasks in several rows.
 	// Only the leader writes it.
--- a/internal/edge/fleet/session.go
+++ b/internal/edge/fleet/session.go
@@ -19,7 +19,9 @@
 	host *Host
 	term
 	writer *store.FencedWriter
-	runner *runner.Runner[*plan.Model, plan.Msg, plan.Cmd]
+	// sweeper removes tombstones.
+	sweeper *sweeper
+	runner  *runner.Runner[*plan.Model, plan.Msg, plan.Cmd]
 	// cancel ends the session with a cause.
 	cancel     context.CancelCauseFunc
 	writes     chan plan.WriteCmd
@@ -31,6 +33,7 @@
 		host:       h,
 		term:       t,
 		writer:     writer,
+		sweeper:    newSweeper(h.settings.Bounds.KeepEnded),
 		writes:     make(chan plan.WriteCmd, 1),
 		writerDone: make(chan struct{}),
 	}
@@ -60,6 +63,7 @@
 	go s.tenure.keepVouched(ctx)
 	go s.tenure.keepWitnesses(ctx)
 	go s.seekWithdrawal(ctx)
+	go s.sweep(ctx)
 	s.runner.Run(ctx)
 	<-s.writerDone
 	return context.Cause(ctx)
--- a/internal/edge/store/client.go
+++ b/internal/edge/store/client.go
@@ -243,11 +243,20 @@
 // or the one that already existed. ErrRefused is returned only if no attempt can
 // have stored the row.
 func (c *Client) Insert(ctx context.Context, row Row, refusalTimeout time.Duration) (Row, error) {
-	change := Change{Expect: []Row{{Key: row.Key}}, Put: []Row{row}}
+	row.Version = 0
+	return c.Replace(ctx, row, refusalTimeout)
+}
+
+// Replace stores a row that must still have the version of the given one. It retries and
+// returns the stored row like Insert: the given one at its new version, or the one that is
+// there in its place, which may be one that an attempt of this call has stored.
+func (c *Client) Replace(ctx context.Context, row Row, refusalTimeout time.Duration) (Row, error) {
+	known := Row{Key: row.Key, Version: row.Version}
+	change := Change{Expect: []Row{known}, Put: []Row{{Key: row.Key, Value: row.Value}}}
 	call := newHedgedCall(hedgeLatencyFactor*c.MeanLatency(), c.meter.RepeatedWrites, func() func(context.Context) (Outcome, error) {
 		return func(attempt context.Context) (Outcome, error) { return c.Transact(attempt, change) }
 	})
-	call.probe = c.probe(Row{Key: row.Key})
+	call.probe = c.probe(known)
 	call.refusalDeadline = time.Now().Add(refusalTimeout)
 	outcome, err := call.run(ctx)
 	switch {
--- a/internal/ops/logev/logev.go
+++ b/internal/ops/logev/logev.go
@@ -62,6 +62,8 @@
 	JobRecorded        Event = 300
 	JobRefused         Event = 301
 	CancelRecorded     Event = 302
+	TombstoneLeft      Event = 306
+	TombstonesRemoved  Event = 307
 	GangPlaced         Event = 310
 	GangRequeued       Event = 311
 	GangReclaimed      Event = 312
@@ -150,6 +152,8 @@
 	{JobRecorded, "job-recorded", zerolog.InfoLevel, "A job is stored; its shard's owner, or the leader, will schedule it."},
 	{JobRefused, "job-refused", zerolog.InfoLevel, "A job was refused at submission; with outcome open, it may have been stored all the same."},
 	{CancelRecorded, "cancel-recorded", zerolog.InfoLevel, "A cancellation is stored."},
+	{TombstoneLeft, "tombstone-left", zerolog.InfoLevel, "A job was cancelled that is not stored; a row keeps its submission from being stored later."},
+	{TombstonesRemoved, "tombstones-removed", zerolog.InfoLevel, "Rows that kept submissions of cancelled jobs from being stored are over and removed."},
 	{GangPlaced, "gang-placed", zerolog.InfoLevel, "A gang was placed by the given rule; its workers are asked to run it next."},
 	{GangRequeued, "gang-kept", zerolog.InfoLevel, "A gang waits in the queue again for the given reason."},
 	{GangReclaimed, "gang-reclaimed", zerolog.InfoLevel, "A gang is preempted, or loses lent capacity, to the gang that the detail names."},
--- a/internal/ops/metrc/metrc.go
+++ b/internal/ops/metrc/metrc.go
@@ -80,12 +80,17 @@
 	RefusedShare  *metrics.Counter
 	WithoutDigest *metrics.Counter
 	Cancelled     *metrics.Counter
-	SubmitLatency *metrics.Histogram
-	Takeovers     *metrics.Counter
-	Placed        *metrics.Counter
-	Preempted     *metrics.Counter
-	Broken        *metrics.Counter
-	JobsEnded     *metrics.Counter
+	// Tombstones counts the rows written for cancelled jobs that are not stored, and
+	// CancelsRefused the cancellations of such jobs that were refused, since there were too
+	// many.
+	Tombstones     *metrics.Counter
+	CancelsRefused *metrics.Counter
+	SubmitLatency  *metrics.Histogram
+	Takeovers      *metrics.Counter
+	Placed         *metrics.Counter
+	Preempted      *metrics.Counter
+	Broken         *metrics.Counter
+	JobsEnded      *metrics.Counter
 	// Avoided counts avoidances of workers, Tried those that came to a trial, and Trusted
 	// the workers that got all work again. Held counts last attempts that had to wait.
 	Avoided *metrics.Counter
@@ -115,31 +120,33 @@
 	counter := func(name string) *metrics.Counter { return s.NewCounter("rattanshore_" + name) }
 	histogram := func(name string) *metrics.Histogram { return s.NewHistogram("rattanshore_" + name) }
 	return &Fleet{
-		Store:         newStore(counter, histogram),
-		Accepted:      counter(`submissions_total{outcome="accepted"}`),
-		Refused:       counter(`submissions_total{outcome="refused"}`),
-		Unknown:       counter(`submissions_total{outcome="open"}`),
-		RefusedLate:   counter(`admission_refusals_total{reason="late"}`),
-		RefusedShare:  counter(`admission_refusals_total{reason="share"}`),
-		WithoutDigest: counter("admissions_without_digest_total"),
-		Cancelled:     counter("cancellations_total"),
-		SubmitLatency: histogram("submission_seconds"),
-		Takeovers:     counter("takeovers_total"),
-		Placed:        counter("gang_placements_total"),
-		Preempted:     counter("gang_preemptions_total"),
-		Broken:        counter("gang_breaks_total"),
-		JobsEnded:     counter("jobs_ended_total"),
-		Avoided:       counter("worker_avoidances_total"),
-		Tried:         counter("worker_trials_total"),
-		Trusted:       counter("worker_recoveries_total"),
-		Held:          counter("last_attempts_held_total"),
-		Withheld:      counter("workers_withheld_total"),
-		StartDelay:    histogram("job_start_delay_seconds"),
-		LogsDropped:   counter("log_lines_dropped_total"),
-		Callers:       newListener(s, "callers"),
-		Ready:         newListener(s, "ready"),
-		Peers:         newListener(s, "peers"),
-		set:           s,
+		Store:          newStore(counter, histogram),
+		Accepted:       counter(`submissions_total{outcome="accepted"}`),
+		Refused:        counter(`submissions_total{outcome="refused"}`),
+		Unknown:        counter(`submissions_total{outcome="open"}`),
+		RefusedLate:    counter(`admission_refusals_total{reason="late"}`),
+		RefusedShare:   counter(`admission_refusals_total{reason="share"}`),
+		WithoutDigest:  counter("admissions_without_digest_total"),
+		Cancelled:      counter("cancellations_total"),
+		Tombstones:     counter("tombstones_total"),
+		CancelsRefused: counter("cancellations_refused_total"),
+		SubmitLatency:  histogram("submission_seconds"),
+		Takeovers:      counter("takeovers_total"),
+		Placed:         counter("gang_placements_total"),
+		Preempted:      counter("gang_preemptions_total"),
+		Broken:         counter("gang_breaks_total"),
+		JobsEnded:      counter("jobs_ended_total"),
+		Avoided:        counter("worker_avoidances_total"),
+		Tried:          counter("worker_trials_total"),
+		Trusted:        counter("worker_recoveries_total"),
+		Held:           counter("last_attempts_held_total"),
+		Withheld:       counter("workers_withheld_total"),
+		StartDelay:     histogram("job_start_delay_seconds"),
+		LogsDropped:    counter("log_lines_dropped_total"),
+		Callers:        newListener(s, "callers"),
+		Ready:          newListener(s, "ready"),
+		Peers:          newListener(s, "peers"),
+		set:            s,
 	}
 }
 
--- a/internal/wire/record/record.gen.go
+++ b/internal/wire/record/record.gen.go
@@ -370,6 +370,15 @@
 	Tasks int `json:"tasks"`
 }
 
+// Tombstone Takes the place of a job's row. It tells that the job was cancelled while it was not stored, and keeps a submission that is still under way from being stored.
+type Tombstone struct {
+	// Cancelled Always set. A job's row has no such field.
+	Cancelled bool `json:"cancelled"`
+
+	// RecordedAtMs When the job was last cancelled by the store's clock.
+	RecordedAtMs int64 `json:"recorded-at-ms"`
+}
+
 // Waiting defines model for Waiting.
 type Waiting struct {
 	// AboveShare The teams above their share or rate while others wait.
