serve: a cancelled job that is not recorded yet leaves a tombstone

Callers saw, with the product's own interface: a submission is answered with outcome-unknown while its host's calls to the store are held up, the cancellation at another host with not-found, and the job runs once the store carries the write out.

Cause: CancelJob starts from the job's pointer row, and recorded nothing where that is missing. The host that took the submission moreover repeated its write for as long as it lived, so that it could be minutes late after the host was cut off from the store.

Evidence: the scenario late-write failed before with 'ghost ran 1 times, not 0'.

Change: the cancellation writes a tombstone, which expects that there is no pointer, and a submission expects that there is no tombstone. One of them is committed. The host gives a submission up 30 s after it came, and a tombstone is kept for 2 minutes after each answer that relies on it; then each host removes what is over, once a minute. A repeated submission is told not-run, with the time from which the identifier can be used.

The batcher merged changes of which one wrote what another expected to be missing: both would have been committed. They go into separate transactions. The two new specs of the batcher were each seen to fail with the part that they guard taken out.

Result: the scenario passes; the specs of store and entry pass with the race detector.

--- a/internal/core/rows/rows.go
+++ b/internal/core/rows/rows.go
@@ -19,6 +19,8 @@
 	JobShards = "job-shards"
 	// Requests holds the claims of non-idempotent requests.
 	Requests = "requests"
+	// Tombstones holds the jobs that were cancelled while they were not recorded.
+	Tombstones = "tombstones"
 	// Configs holds all versions of the configuration.
 	Configs = "configs"
 )
@@ -32,6 +34,8 @@
 		return EndedJobs
 	case strings.HasPrefix(key, JobShardPrefix):
 		return JobShards
+	case strings.HasPrefix(key, TombstonePrefix):
+		return Tombstones
 	case strings.HasPrefix(key, RequestPrefix):
 		return Requests
 	case strings.HasPrefix(key, ConfigPrefix) && key != ConfigCurrent:
@@ -53,6 +57,8 @@
 	CancelPrefix   = "cancel/"
 	RequestPrefix  = "request/"
 	DrainPrefix    = "drain/"
+
+	TombstonePrefix = "tombstone/"
 )
 
 // ConfigCurrent is the key of the configuration in force.
@@ -88,6 +94,9 @@
 // Cancel returns the key of a recorded cancellation.
 func Cancel(shard, id string) string { return Cancels(shard) + id }
 
+// Tombstone returns the key of the row that keeps a cancelled job from being recorded.
+func Tombstone(id string) string { return TombstonePrefix + id }
+
 // Request returns the key of the claim of a non-idempotent request.
 func Request(id string) string { return RequestPrefix + id }
 
--- a/internal/edge/entry/host.go
+++ b/internal/edge/entry/host.go
@@ -17,6 +17,7 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
+	"github.com/rattanshore/rattanshore/internal/core/limit"
 	"github.com/rattanshore/rattanshore/internal/core/route"
 	"github.com/rattanshore/rattanshore/internal/edge/guard"
 	"github.com/rattanshore/rattanshore/internal/edge/hosts"
@@ -65,7 +66,10 @@
 	router  *router
 	view    *view
 
-	intake           *intake
+	intake *intake
+	// cancels limits the tombstones that callers have the host leave.
+	cancels *limit.Cancels
+
 	callerListener   listener
 	operatorListener listener
 	peerListener     listener
@@ -109,6 +113,7 @@
 		pendingRequests: map[int64]chan route.Answer{},
 		pollNow:         make(chan struct{}, 1),
 		sessionLost:     make(chan error, 4),
+		cancels:         limit.NewCancels(),
 	}
 	timing := settings.Timing
 	h.store = store.NewClient(platform, &h.metrics.Store)
@@ -220,6 +225,7 @@
 	h.spawn(func() { h.pollRows(ctx) })
 	h.spawn(func() { h.pollHosts(ctx) })
 	h.spawn(func() { h.broadcastPeriodically(ctx) })
+	h.spawn(func() { h.sweepTombstones(ctx) })
 	h.serve(&h.callerListener, h.callerHandler())
 	h.serve(&h.operatorListener, h.operatorHandler())
 	h.serve(&h.peerListener, h.peers.Handler())
--- a/internal/edge/entry/jobs.go
+++ b/internal/edge/entry/jobs.go
@@ -121,10 +121,10 @@
 	}
 	pointer := pointerRow{Shard: shard, Content: specDigest(spec)}
 	name := rows.JobShard(spec.ID)
-	outcome, err := a.write(ctx, store.Change{
-		Expect: []store.Row{expected(name, 0)},
+	outcome, err := a.writeUntil(ctx, store.Change{
+		Expect: []store.Row{expected(name, 0), expected(rows.Tombstone(spec.ID), 0)},
 		Put:    []store.Row{rowOf(name, pointer), rowOf(rows.Job(shard, spec.ID), status)},
-	})
+	}, time.Now().Add(submissionTimeout))
 	switch {
 	case err != nil:
 		a.fail(ctx, newError(schema.OutcomeUnknown, "the job may have been recorded; submit it again with the same id to check"))
@@ -140,9 +140,15 @@
 
 // write commits a change and waits at most writeTimeout for the outcome.
 func (h *Host) write(ctx iris.Context, change store.Change) (store.Outcome, error) {
+	return h.writeUntil(ctx, change, time.Time{})
+}
+
+// writeUntil is write for a change that is given up if it is not committed by then; zero
+// means never.
+func (h *Host) writeUntil(ctx iris.Context, change store.Change, until time.Time) (store.Outcome, error) {
 	writeCtx, cancel := context.WithTimeout(ctx.Request().Context(), writeTimeout)
 	defer cancel()
-	return h.batcher.Apply(writeCtx, change)
+	return h.batcher.ApplyUntil(writeCtx, change, until)
 }
 
 // notifyOwner tells the owner of a shard, on this host or a peer, to read its
@@ -156,10 +162,13 @@
 }
 
 // replyResubmission replies to a submission whose identifier is already in use:
-// with the status of the job if it is the same one, otherwise with an error.
+// with the status of the job if it is the same one, otherwise with an error, also if the
+// job was cancelled before it was recorded.
 func (a callerAPI) replyResubmission(ctx iris.Context, spec schema.JobSpec, digest string) {
 	pointer, status, err := a.findJob(ctx.Request().Context(), spec.ID)
 	switch {
+	case errors.Is(err, errNoJob):
+		a.failCancelledBefore(ctx, spec.ID)
 	case err != nil:
 		a.failRead(ctx, err)
 	case pointer.Content != digest:
@@ -251,17 +260,26 @@
 		return
 	}
 	pointer, status, err := a.findJob(ctx.Request().Context(), id)
-	if err != nil {
+	switch {
+	case errors.Is(err, errNoJob) && pointer.Shard == "":
+		a.cancelUnrecorded(ctx, id)
+	case err != nil:
 		a.failRead(ctx, err)
-		return
+	default:
+		a.cancelRecorded(ctx, pointer, status)
 	}
+}
+
+// cancelRecorded records the cancellation of a recorded job, unless the job has ended.
+func (a callerAPI) cancelRecorded(ctx iris.Context, pointer pointerRow, status schema.JobStatus) {
 	if status.State != schema.Waiting && status.State != schema.Running {
 		a.reply(ctx, status)
 		return
 	}
-	_, err = a.write(ctx, store.Change{Put: []store.Row{rowOf(rows.Cancel(pointer.Shard, id), time.Now())}})
+	id := status.Spec.ID
+	_, err := a.write(ctx, store.Change{Put: []store.Row{rowOf(rows.Cancel(pointer.Shard, id), time.Now())}})
 	if err != nil {
-		a.fail(ctx, newError(schema.OutcomeUnknown, "the cancellation may have been recorded; cancel again to be sure"))
+		a.failCancel(ctx)
 		return
 	}
 	logev.CancelRecorded.Log(a.log).Str("job", id).Str("shard", pointer.Shard).Send()
@@ -269,6 +287,11 @@
 	a.reply(ctx, status)
 }
 
+// failCancel replies that the outcome of a cancellation is unknown.
+func (a callerAPI) failCancel(ctx iris.Context) {
+	a.fail(ctx, newError(schema.OutcomeUnknown, "the cancellation may have been recorded; cancel again to be sure"))
+}
+
 // ExplainJob explains why a job waits, or why it was placed where it is. Only
 // the owner of the shard can explain a decision, so another host forwards the
 // call. If the owner does not answer, the explanation comes from the job's row.
--- a/internal/edge/store/batch.go
+++ b/internal/edge/store/batch.go
@@ -4,6 +4,9 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // maxEntries limits the expected, written and removed rows that are merged into one
@@ -24,6 +27,8 @@
 
 type pendingChange struct {
 	change Change
+	// until is when the change is given up; zero means never.
+	until  time.Time
 	result chan commitResult
 }
 
@@ -42,7 +47,13 @@
 // ends first, Apply returns the context's error and the outcome is unknown to the
 // caller; Run still tries to commit the change.
 func (b *Batcher) Apply(ctx context.Context, change Change) (Outcome, error) {
-	p := &pendingChange{change: change, result: make(chan commitResult, 1)}
+	return b.ApplyUntil(ctx, change, time.Time{})
+}
+
+// ApplyUntil is Apply for a change that Run gives up if it is not committed by then. An
+// attempt that is under way at that time may still be committed.
+func (b *Batcher) ApplyUntil(ctx context.Context, change Change, until time.Time) (Outcome, error) {
+	p := &pendingChange{change: change, until: until, result: make(chan commitResult, 1)}
 	b.mu.Lock()
 	b.pending = append(b.pending, p)
 	b.mu.Unlock()
@@ -91,22 +102,25 @@
 }
 
 // nextBatch takes the next batch from the pending changes. Changes that write the
-// same row go into separate transactions.
+// same row, or of which one writes what another expects, go into separate transactions.
 func (b *Batcher) nextBatch() []*pendingChange {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var batch, rest []*pendingChange
-	seen := map[Key]bool{}
+	written, read := map[Key]bool{}, map[Key]bool{}
 	entries := 0
 	for _, p := range b.pending {
 		size := p.change.entries()
-		if len(batch) > 0 && entries+size > maxEntries || overlaps(seen, p.change) {
+		if len(batch) > 0 && entries+size > maxEntries || overlaps(written, p.change.keys()) || overlaps(read, p.change.writtenKeys()) {
 			rest = append(rest, p)
 			continue
 		}
 		entries += size
 		for _, key := range p.change.writtenKeys() {
-			seen[key] = true
+			written[key] = true
+		}
+		for _, row := range p.change.Expect {
+			read[row.Key] = true
 		}
 		batch = append(batch, p)
 	}
@@ -128,15 +142,28 @@
 	return keys
 }
 
-// overlaps reports whether the change writes a row in seen.
-func overlaps(seen map[Key]bool, change Change) bool {
-	return slices.ContainsFunc(change.writtenKeys(), func(k Key) bool { return seen[k] })
+// keys returns the keys that the change writes, removes or expects.
+func (c Change) keys() []Key {
+	keys := c.writtenKeys()
+	for _, r := range c.Expect {
+		keys = append(keys, r.Key)
+	}
+	return keys
 }
 
-// commit retries the batch without its failed changes until the rest is committed.
+// overlaps reports whether one of the keys is in seen.
+func overlaps(seen map[Key]bool, keys []Key) bool {
+	return slices.ContainsFunc(keys, func(k Key) bool { return seen[k] })
+}
+
+// commit retries the batch without its failed and overdue changes until the rest is
+// committed.
 func (b *Batcher) commit(ctx context.Context, batch []*pendingChange) error {
-	for len(batch) > 0 {
-		outcome, err := b.writer.Apply(ctx, merge(batch), b.rowValue)
+	for batch = dropOverdue(batch); len(batch) > 0; batch = dropOverdue(batch) {
+		outcome, err := b.attempt(ctx, batch)
+		if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
+			continue
+		}
 		if err != nil {
 			reply(batch, commitResult{err: err})
 			return err
@@ -150,6 +177,48 @@
 	return nil
 }
 
+// attempt tries to commit the batch until its first change is overdue. The error is then
+// context.DeadlineExceeded.
+func (b *Batcher) attempt(ctx context.Context, batch []*pendingChange) (Outcome, error) {
+	limited := ctx
+	if until := firstOverdue(batch); !until.IsZero() {
+		var cancel context.CancelFunc
+		limited, cancel = context.WithDeadline(ctx, until)
+		defer cancel()
+	}
+	outcome, err := b.writer.Apply(limited, merge(batch), b.rowValue)
+	if err != nil && limited.Err() != nil && ctx.Err() == nil {
+		return Outcome{}, context.DeadlineExceeded
+	}
+	return outcome, err
+}
+
+// firstOverdue returns when the first change of the batch is given up; zero means never.
+func firstOverdue(batch []*pendingChange) time.Time {
+	var first time.Time
+	for _, p := range batch {
+		if first.IsZero() || !p.until.IsZero() && p.until.Before(first) {
+			first = p.until
+		}
+	}
+	return first
+}
+
+// dropOverdue gives up the changes whose time is over, whose outcome is unknown, and returns
+// the rest.
+func dropOverdue(batch []*pendingChange) []*pendingChange {
+	now := time.Now()
+	var rest []*pendingChange
+	for _, p := range batch {
+		if !p.until.IsZero() && !now.Before(p.until) {
+			p.result <- commitResult{err: ErrUnanswered}
+			continue
+		}
+		rest = append(rest, p)
+	}
+	return rest
+}
+
 // dropFailed sends the outcome to the changes whose conditions did not hold and
 // returns the rest.
 func dropFailed(batch []*pendingChange, outcome Outcome) []*pendingChange {
--- a/internal/edge/store/store_test.go
+++ b/internal/edge/store/store_test.go
@@ -234,6 +234,58 @@
 		}
 		Expect(s.rows.Stats().Writes).To(BeNumerically("<", 50))
 	})
+
+	// Guards against a job that is recorded although its cancellation, which expects that it
+	// is not, is committed in the same transaction.
+	It("commits at most one of two changes each of which expects that the other is not committed", func() {
+		s := newServer()
+		ctx, cancel := context.WithCancel(context.Background())
+		batcher := store.NewBatcher(store.NewFencedWriter(s.client, named("host/a"), 0), numbered("a"))
+		first, second := put("job", "1", 0), put("tombstone", "1", 0)
+		first.Expect = append(first.Expect, store.Row{Key: named("tombstone")})
+		second.Expect = append(second.Expect, store.Row{Key: named("job")})
+		applied := make(chan bool, 2)
+		for _, change := range []store.Change{first, second} {
+			go func() {
+				defer GinkgoRecover()
+				outcome, err := batcher.Apply(ctx, change)
+				Expect(err).NotTo(HaveOccurred())
+				applied <- outcome.Applied
+			}()
+		}
+		time.Sleep(50 * time.Millisecond)
+		done := make(chan error, 1)
+		go func() { done <- batcher.Run(ctx) }()
+		Expect([]bool{<-applied, <-applied}).To(ConsistOf(true, false))
+		cancel()
+		<-done
+	})
+
+	// Guards against a change that is committed long after its caller has given it up, when a
+	// host that was cut off reaches the store again.
+	It("gives up a change that cannot be committed in time, and goes on with the others", func() {
+		s := newServer()
+		ctx, cancel := context.WithCancel(context.Background())
+		batcher := store.NewBatcher(store.NewFencedWriter(s.client, named("host/a"), 0), numbered("a"))
+		s.injector.Set(faults.Fault{Kind: faults.Down, Who: tables.TableName})
+		done, kept := make(chan error, 1), make(chan error, 1)
+		go func() { done <- batcher.Run(ctx) }()
+		go func() {
+			_, err := batcher.Apply(ctx, put("kept", "1", 0))
+			kept <- err
+		}()
+		limited, stop := context.WithTimeout(ctx, 5*time.Second)
+		defer stop()
+		_, err := batcher.ApplyUntil(limited, put("overdue", "1", 0), time.Now().Add(300*time.Millisecond))
+		Expect(err).To(MatchError(store.ErrUnanswered))
+		s.injector.Clear(faults.Down, tables.TableName)
+		Eventually(kept, 5*time.Second).Should(Receive(BeNil()))
+		row, err := s.client.Read(ctx, named("overdue"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(row.Version).To(BeZero())
+		cancel()
+		<-done
+	})
 })
 
 // lateStore is a store that answers Changes later than the minimum hedge delay.
--- a/internal/fakes/tables/tables.go
+++ b/internal/fakes/tables/tables.go
@@ -99,7 +99,7 @@
 // Dump returns all rows by name.
 func (t *Table) Dump() map[string]json.RawMessage {
 	dump := map[string]json.RawMessage{}
-	for _, table := range []string{rows.Shared, rows.ShardJobs, rows.EndedJobs, rows.JobShards, rows.Requests, rows.Configs} {
+	for _, table := range []string{rows.Shared, rows.ShardJobs, rows.EndedJobs, rows.JobShards, rows.Tombstones, rows.Requests, rows.Configs} {
 		for name, value := range t.Rows(table) {
 			dump[name] = value
 		}
