soak: callers give up jobs that got no answer, and the store carries writes out late

A store that is silent keeps the transactions that it leaves unanswered, and carries them out up to 6 s after it answers again. Callers cancel jobs that were not accepted until that is answered, and submit some of them once more. A job whose cancellation was answered with 410 may not run, nor be accepted afterwards.

The life of tombstones is computed in one place.

--- a/internal/edge/fleet/host.go
+++ b/internal/edge/fleet/host.go
@@ -118,7 +118,7 @@
 		h.frontend.admission = newAdmission(s, settings.Host.ID, clock, log, meter)
 	}
 	h.registry = &registry{host: h, links: s.Links}
-	h.frontend.tombstones = newTombstones(h.frontend, settings.Bounds.KeepEnded, h.registry.count)
+	h.frontend.tombstones = newTombstones(s.Relayed, clock, log, meter, settings.Bounds.KeepEnded, h.registry.count)
 	h.intake = newIntake(h)
 	return h
 }
--- a/internal/edge/fleet/sweep.go
+++ b/internal/edge/fleet/sweep.go
@@ -24,7 +24,7 @@
 // sweeper removes the tombstones that are over. The leader has one, which learns of them by
 // the rows of tableJobs that the leader reads.
 type sweeper struct {
-	// life is that of tombstones after an answer.
+	// life is for how long a tombstone is kept after each answer that relies on it.
 	life time.Duration
 
 	mu sync.Mutex
@@ -40,7 +40,7 @@
 }
 
 func newSweeper(keepEnded time.Duration) *sweeper {
-	return &sweeper{life: max(keepEnded, leastTombstoneLife), found: map[store.Key]foundTombstone{}}
+	return &sweeper{life: tombstoneLife(keepEnded), found: map[store.Key]foundTombstone{}}
 }
 
 // note records what a row of tableJobs tells of tombstones.
--- a/internal/edge/fleet/tombstone.go
+++ b/internal/edge/fleet/tombstone.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// leastTombstoneLife is the least time for which a tombstone is kept after an answer:
-	// far longer than the store or a paused host delays a write.
+	// leastTombstoneLife is the least time for which a tombstone is kept after an answer that
+	// relies on it: far longer than the store delays a write.
 	leastTombstoneLife = time.Minute
+	// renewalPart is the part of its life after which a tombstone is renewed before an answer
+	// relies on it.
+	renewalPart = 4
 	// maxTombstoneBytes is more than an encoded tombstone takes, and less than a job does.
 	maxTombstoneBytes = 64
 	// maxTombstoneTries limits how often a tombstone is tried to be left whose row changes
@@ -58,21 +61,32 @@
 	clock func() time.Time
 	log   *zerolog.Logger
 	meter *metrc.Fleet
-	// life is for how long a tombstone is kept after an answer, and at least 1.25 times as
-	// long after it was written.
+	// life is for how long a tombstone is kept after each answer that relies on it.
 	life   time.Duration
 	limits *limit.Cancels
 	// hosts returns how many hosts record cancellations.
 	hosts func() int
 }
 
-func newTombstones(f *frontend, keepEnded time.Duration, hosts func() int) *tombstones {
+// newTombstones returns tombstones that are kept as long as ended jobs.
+func newTombstones(s *store.Client, clock func() time.Time, log *zerolog.Logger, meter *metrc.Fleet, keepEnded time.Duration, hosts func() int) *tombstones {
 	return &tombstones{
-		store: f.store, clock: f.clock, log: f.log, meter: f.meter,
-		life: max(keepEnded, leastTombstoneLife), limits: limit.NewCancels(), hosts: hosts,
+		store: s, clock: clock, log: log, meter: meter,
+		life: tombstoneLife(keepEnded), limits: limit.NewCancels(), hosts: hosts,
 	}
 }
 
+// tombstoneLife returns for how long a tombstone is kept after each answer that relies on it.
+func tombstoneLife(keepEnded time.Duration) time.Duration {
+	return max(keepEnded, leastTombstoneLife)
+}
+
+// keptUntil returns when a tombstone may be removed, by the store's clock: its life after the
+// last answer that may rely on it.
+func keptUntil(t record.Tombstone, life time.Duration) time.Time {
+	return time.UnixMilli(t.RecordedAtMs).Add(life/renewalPart + life)
+}
+
 // tombstoneOf returns the tombstone that a row of tableJobs holds, and whether it holds one.
 func tombstoneOf(row store.Row) (record.Tombstone, bool) {
 	var t record.Tombstone
@@ -107,14 +121,9 @@
 	return ErrNotStored
 }
 
-// isFresh reports whether a tombstone is kept for its life after an answer that is given now.
+// isFresh reports whether an answer may rely on a tombstone as it is.
 func (t *tombstones) isFresh(present record.Tombstone) bool {
-	return t.store.Clock().Sub(time.UnixMilli(present.RecordedAtMs)) < t.life/4
-}
-
-// keptUntil returns when a tombstone may be removed, by the store's clock.
-func keptUntil(present record.Tombstone, life time.Duration) time.Time {
-	return time.UnixMilli(present.RecordedAtMs).Add(life + life/4)
+	return t.store.Clock().Sub(time.UnixMilli(present.RecordedAtMs)) < t.life/renewalPart
 }
 
 // write writes a tombstone in the place of a row of the same version, and returns the row
@@ -124,14 +133,12 @@
 	if err != nil {
 		return store.Row{}, err
 	}
-	key := row.Key
 	row.Value = value
 	row, err = t.store.Replace(ctx, row, refusalTimeout)
 	if err != nil {
 		return store.Row{}, writeError(err)
 	}
 	t.meter.Tombstones.Inc()
-	row.Key = key
 	return row, nil
 }
 
--- a/internal/edge/fleet/tombstone_test.go
+++ b/internal/edge/fleet/tombstone_test.go
@@ -27,7 +27,7 @@
 	log, meter, s := zerolog.Nop(), metrc.NewFleet(), &rowStore{rows: map[store.Key]store.Row{}}
 	client := store.NewClient(s, &meter.Store)
 	f := newFrontend(client, time.Now, &log, meter, gate.New(time.Second), 1<<20)
-	f.tombstones = newTombstones(f, time.Second, func() int { return 3 })
+	f.tombstones = newTombstones(client, time.Now, &log, meter, time.Second, func() int { return 3 })
 	leader := &session{host: &Host{store: client, log: &log}, sweeper: newSweeper(time.Second)}
 	return cancelling{f, leader, t, s}
 }
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -58,6 +58,7 @@
 	case 9:
 		r.recordFault("store faults are cleared")
 		r.platform.Store.SetFaults(fake.StoreFaults{})
+		r.carryOutLate()
 	case 10:
 		r.recordFault("store drops its change history")
 		r.platform.Store.DropHistory()
@@ -75,10 +76,22 @@
 	}
 }
 
+// maxLate is the longest time after its silence in which the store carries out what it has
+// left unanswered.
+const maxLate = 6 * time.Second
+
+// carryOutLate has the store carry out late what it has left unanswered.
+func (r *run) carryOutLate() {
+	delay := time.Duration(r.late.Int64N(int64(maxLate)))
+	r.recordFault("the store carries out what it left unanswered in %v", delay.Round(time.Millisecond))
+	r.lastLate = time.Now().Add(delay)
+	time.AfterFunc(delay, func() { r.platform.Store.CarryOutKept() })
+}
+
 // injectStoreFault injects one random fault into the store.
 func (r *run) injectStoreFault() {
 	faults := []fake.StoreFaults{
-		{Refuse: true}, {Silent: true}, {Delay: 120 * time.Millisecond}, {ResponseLoss: 0.3},
+		{Refuse: true}, {Silent: true, KeepWrites: true}, {Delay: 120 * time.Millisecond}, {ResponseLoss: 0.3},
 	}
 	f := faults[r.random.IntN(len(faults))]
 	r.recordFault("store has faults %+v", f)
@@ -109,6 +122,7 @@
 func (r *run) clearFaults() {
 	r.recordFault("all faults are cleared")
 	r.platform.Store.SetFaults(fake.StoreFaults{})
+	r.carryOutLate()
 	r.platform.SetResponseLoss(0)
 	r.setLimit(0)
 	for _, h := range r.hosts {
--- a/soak/run.go
+++ b/soak/run.go
@@ -58,7 +58,12 @@
 	config   rules.Config
 	// limits draws the team's limits. It is apart from random, so that a seed draws the
 	// same faults as before there were limits.
-	limits    *rand.Rand
+	limits *rand.Rand
+	// late draws how late the store carries out the writes that it has left unanswered. It
+	// is apart from random for the same reason.
+	late *rand.Rand
+	// lastLate is when the store carries out such writes for the last time.
+	lastLate  time.Time
 	hosts     []*host
 	caller    fake.Caller
 	startedAt time.Time
@@ -69,10 +74,11 @@
 }
 
 // trackedJob is what callers know of a job. uncertain is set if a submission got
-// no clear answer, so that it may have taken effect.
+// no clear answer, so that it may have taken effect, and gone if a cancellation was
+// answered that there is no such job, so that it never starts.
 type trackedJob struct {
-	accepted, uncertain, cancelled bool
-	state                          string
+	accepted, uncertain, cancelled, gone bool
+	state                                string
 }
 
 // Run runs hosts under random faults that follow from the seed, and returns
@@ -93,7 +99,7 @@
 
 // newRun starts a platform with workers whose tasks take the given time.
 func newRun(o Options, taskDuration time.Duration) (*run, error) {
-	r := &run{options: o, random: rand.New(rand.NewPCG(o.Seed, 3)), limits: rand.New(rand.NewPCG(o.Seed, 7)), jobs: map[string]*trackedJob{}, startedAt: time.Now()}
+	r := &run{options: o, random: rand.New(rand.NewPCG(o.Seed, 3)), limits: rand.New(rand.NewPCG(o.Seed, 7)), late: rand.New(rand.NewPCG(o.Seed, 8)), jobs: map[string]*trackedJob{}, startedAt: time.Now()}
 	platform, err := fake.New(o.Seed, taskDuration)
 	if err != nil {
 		return nil, err
@@ -163,9 +169,13 @@
 	r.clearFaults()
 	r.probe(ctx)
 	r.waitForJobs(ctx)
+	time.Sleep(time.Until(r.lastLate.Add(lateStart)))
 	r.verify()
 }
 
+// lateStart is more than it takes to start a job that was stored late.
+const lateStart = time.Second
+
 // randomPause waits for a random time, or until ctx is done.
 func (r *run) randomPause(ctx context.Context, minMillis, maxMillis int) {
 	pause := time.Duration(minMillis+r.random.IntN(maxMillis-minMillis)) * time.Millisecond
@@ -178,6 +188,9 @@
 // runCaller submits jobs one after the other, as a client does, and cancels some
 // of them.
 func (r *run) runCaller(ctx context.Context, random *rand.Rand, caller int) {
+	// giveUp is apart from random, so that a seed draws the same jobs as before callers gave
+	// up.
+	giveUp := rand.New(rand.NewPCG(r.options.Seed, uint64(20+caller)))
 	for number := 0; ctx.Err() == nil; number++ {
 		job := r.newJob(random, caller, number)
 		r.platform.RegisterJob(job)
@@ -185,6 +198,7 @@
 		if random.IntN(8) == 0 {
 			r.cancel(ctx, random, job.ID)
 		}
+		r.giveUp(ctx, giveUp, job)
 		time.Sleep(time.Duration(random.IntN(250)) * time.Millisecond)
 	}
 }
@@ -232,6 +246,35 @@
 	defer r.mu.Unlock()
 	// A cancellation without a clear answer may still take effect.
 	r.jobs[id].cancelled = status != http.StatusServiceUnavailable && status != http.StatusGone
+	r.jobs[id].gone = r.jobs[id].gone || status == http.StatusGone
+}
+
+// giveUp cancels some of the jobs that were not accepted until that is answered, and then
+// submits them again, as a network does that delivers a request twice.
+func (r *run) giveUp(ctx context.Context, random *rand.Rand, job record.Job) {
+	r.mu.Lock()
+	accepted := r.jobs[job.ID].accepted
+	r.mu.Unlock()
+	if accepted || random.IntN(3) == 0 {
+		return
+	}
+	for ctx.Err() == nil {
+		r.cancel(ctx, random, job.ID)
+		r.mu.Lock()
+		answered := r.jobs[job.ID].cancelled || r.jobs[job.ID].gone
+		r.mu.Unlock()
+		if answered {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	h := r.hosts[random.IntN(len(r.hosts))]
+	status, _ := r.caller.Call(ctx, h.callers, http.MethodPost, job.ID, fake.Submission(job), callTimeout)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if status == http.StatusOK && r.jobs[job.ID].gone {
+		r.reportProblem("%s was accepted after its cancellation was answered", job.ID)
+	}
 }
 
 // probeTimeout is how soon after the last fault a job must be accepted.
@@ -306,6 +349,9 @@
 
 func (r *run) verifyJob(id string, job *trackedJob) {
 	_, started := r.platform.Pool.FirstStart(id)
+	if job.gone && started {
+		r.reportProblem("%s ran although a cancellation was answered that there is no such job", id)
+	}
 	switch {
 	case job.accepted:
 		r.report.Accepted++
